--- a/src/app/server.hpp
+++ b/src/app/server.hpp
@@ -41,6 +41,11 @@
     void carry_out(answer_piece const& what);
     void carry_out(answer_end const& what);
     void carry_out(answer_refusal const& what);
+    // Commands that are not carried out yet.
+    template <typename Other>
+    void carry_out(Other const&)
+    {
+    }
 
     settings options_;
     node node_;
--- /dev/null
+++ b/src/core/command.hpp
@@ -0,0 +1,80 @@
+// What a node orders: commands to callers, upstreams, peers and the platform.
+#ifndef AMARANTHARCH_CORE_COMMAND_HPP
+#define AMARANTHARCH_CORE_COMMAND_HPP
+
+#include "core/event.hpp"
+
+#include <functional>
+#include <string>
+#include <variant>
+
+namespace amarantharch
+{
+
+struct start_attempt
+{
+    attempt_id attempt;
+    std::string upstream;
+    std::string address; // ip:port
+    call request;
+};
+
+struct cancel_attempt
+{
+    attempt_id attempt;
+};
+
+struct answer_head
+{
+    request_id request;
+    int status;
+    header_list headers;
+};
+
+struct answer_piece
+{
+    request_id request;
+    std::string bytes;
+};
+
+struct answer_end
+{
+    request_id request;
+};
+
+struct answer_refusal
+{
+    request_id request;
+    refusal why;
+};
+
+// Append one payload to a stream of the platform's log. Its fate is learnt by
+// reading the stream.
+struct append_to_log
+{
+    log_stream stream;
+    std::string payload;
+};
+
+struct send_to_peer
+{
+    peer_message message;
+};
+
+// One line of the time line.
+struct record_timeline
+{
+    std::string kind;    // stable name, such as "attempt_started"
+    request_id request;  // empty if it concerns no request
+    std::string details; // "key=value" pairs separated by spaces
+};
+
+using command = std::variant<start_attempt, cancel_attempt, answer_head,
+                             answer_piece, answer_end, answer_refusal,
+                             append_to_log, send_to_peer, record_timeline>;
+
+using command_sink = std::function<void(command)>;
+
+} // namespace amarantharch
+
+#endif
--- a/src/core/node.hpp
+++ b/src/core/node.hpp
@@ -11,107 +11,17 @@
 #ifndef AMARANTHARCH_CORE_NODE_HPP
 #define AMARANTHARCH_CORE_NODE_HPP
 
-#include "core/call.hpp"
+#include "core/command.hpp"
+#include "core/event.hpp"
 #include "core/time.hpp"
 
-#include <cstdint>
-#include <functional>
 #include <map>
 #include <string>
-#include <variant>
 #include <vector>
 
 namespace amarantharch
 {
 
-using attempt_id = std::uint64_t;
-
-// ---- Events: what happened. ----
-
-struct call_received
-{
-    call request;
-};
-
-// The caller closed its connection before the answer ended.
-struct call_abandoned
-{
-    request_id request;
-};
-
-struct upstream_head
-{
-    attempt_id attempt;
-    int status;
-    header_list headers;
-};
-
-struct upstream_piece
-{
-    attempt_id attempt;
-    std::string bytes;
-};
-
-struct upstream_end
-{
-    attempt_id attempt;
-};
-
-// The attempt ended without a whole answer.
-struct upstream_failed
-{
-    attempt_id attempt;
-    verdict run; // not_run only if no byte of the request left this VM
-    std::string reason;
-};
-
-using event = std::variant<call_received, call_abandoned, upstream_head,
-                           upstream_piece, upstream_end, upstream_failed>;
-
-// ---- Commands: what is to be done. ----
-
-struct start_attempt
-{
-    attempt_id attempt;
-    std::string upstream;
-    std::string address; // ip:port
-    call request;
-};
-
-struct cancel_attempt
-{
-    attempt_id attempt;
-};
-
-struct answer_head
-{
-    request_id request;
-    int status;
-    header_list headers;
-};
-
-struct answer_piece
-{
-    request_id request;
-    std::string bytes;
-};
-
-struct answer_end
-{
-    request_id request;
-};
-
-struct answer_refusal
-{
-    request_id request;
-    refusal why;
-};
-
-using command = std::variant<start_attempt, cancel_attempt, answer_head,
-                             answer_piece, answer_end, answer_refusal>;
-
-using command_sink = std::function<void(command)>;
-
 struct upstream_entry
 {
     std::string name;
@@ -157,6 +67,12 @@
     void on(time_point now, upstream_failed const& what,
             command_sink const& emit);
 
+    // Events that this node does not act on.
+    template <typename Other>
+    void on(time_point, Other const&, command_sink const&)
+    {
+    }
+
     node_options options_;
     std::size_t next_upstream_ = 0;
     attempt_id next_attempt_ = 1;
