--- /dev/null
+++ b/src/core/ledger.cpp
@@ -0,0 +1,760 @@
+#include "core/ledger.hpp"
+
+#include <algorithm>
+#include <functional>
+#include <type_traits>
+#include <utility>
+#include <vector>
+
+namespace amarantharch
+{
+
+namespace
+{
+
+constexpr int http_not_found = 404;
+constexpr int http_conflict = 409;
+constexpr int http_body_too_large = 413;
+constexpr int http_unprocessable = 422;
+constexpr int http_unavailable = 503;
+
+constexpr duration retry_soon = std::chrono::seconds(1);
+constexpr duration retry_in_outage = std::chrono::seconds(5);
+constexpr duration do_not_retry = duration::zero();
+
+// A request given back is taken again after this time, doubled with each
+// generation up to the maximum, so that VMs without an upstream do not hand
+// it round at the log's full rate.
+constexpr duration first_restart_delay = std::chrono::milliseconds(100);
+constexpr std::uint32_t max_restart_doublings = 8;
+
+// A record not read back is emitted again at doubling intervals.
+constexpr int max_resend_doublings = 4;
+
+// What is open is recorded again after window / record_again_part without a
+// record, and looked at again after window / look_again_part.
+constexpr int record_again_part = 4;
+constexpr int look_again_part = 16;
+
+constexpr std::int64_t share_steps = 1024;
+
+refusal unavailable(char const* reason, duration retry_after)
+{
+    return {http_unavailable, verdict::not_run, reason, retry_after};
+}
+
+refusal in_progress()
+{
+    return {http_conflict, verdict::may_have_run, ledger_reasons::in_progress,
+            retry_soon};
+}
+
+} // namespace
+
+ledger::ledger(ledger_options options, ledger_sink emit)
+    : options_(std::move(options)), emit_(std::move(emit)),
+      table_(options_.window, options_.max_bytes)
+{
+}
+
+// Submissions
+
+void ledger::submit(time_point now, submission what)
+{
+    auto const* row = ready() ? table_.find(what.key) : nullptr;
+    if (row != nullptr && blocks(now, *row, what))
+    {
+        if (row->content != what.content && row->content != 0)
+        {
+            refuse(what.request, {http_unprocessable, verdict::not_run,
+                                  ledger_reasons::key_reused, do_not_retry});
+            return;
+        }
+        reply_from(what.request, what.asynchronous, *row);
+        return;
+    }
+    if (deciding_.contains(what.key))
+    {
+        refuse(what.request, in_progress());
+        return;
+    }
+    if (auto why = refusal_for(what))
+    {
+        refuse(what.request, *why);
+        return;
+    }
+    auto const request = what.request;
+    append(now, record_for(std::move(what), row), request,
+           now + options_.decide_timeout);
+}
+
+// Whether `row` stands against running the submission.
+bool ledger::blocks(time_point now, ledger_row const& row,
+                    submission const& what) const
+{
+    if (row.state == key_state::done)
+    {
+        return log_now_us(now) - row.done_us <= what.repeat_window.count();
+    }
+    return row.state != key_state::free;
+}
+
+std::optional<refusal> ledger::refusal_for(submission const& what) const
+{
+    if (stop_by_)
+    {
+        return unavailable(ledger_reasons::stopping, retry_soon);
+    }
+    if (!reachable_)
+    {
+        return unavailable(ledger_reasons::log_unreachable, retry_in_outage);
+    }
+    if (!ready())
+    {
+        return unavailable(ledger_reasons::not_ready, retry_soon);
+    }
+    if (what.asynchronous && what.call.body.size() > options_.max_body)
+    {
+        return refusal{http_body_too_large, verdict::not_run,
+                       ledger_reasons::body_too_large, do_not_retry};
+    }
+    if (table_.size() >= options_.max_keys ||
+        table_.bytes() >= options_.max_bytes ||
+        own_.size() >= options_.max_unsettled)
+    {
+        return unavailable(ledger_reasons::full, retry_in_outage);
+    }
+    return std::nullopt;
+}
+
+ledger_record ledger::record_for(submission what, ledger_row const* row)
+{
+    std::uint32_t generation = 0;
+    if (row != nullptr)
+    {
+        bool const renewed = row->state == key_state::done;
+        generation = row->generation + (renewed ? 1 : 0);
+    }
+    auto header = header_for(what.key, generation);
+    if (what.asynchronous)
+    {
+        return acceptance_record{std::move(header), what.content, false,
+                                 std::move(what.call)};
+    }
+    return intent_record{std::move(header), what.content};
+}
+
+void ledger::inquire(time_point now, request_id const& request,
+                     request_key const& key)
+{
+    static_cast<void>(now);
+    if (!ready())
+    {
+        refuse(request, {http_unavailable, verdict::may_have_run,
+                         ledger_reasons::not_ready, retry_soon});
+        return;
+    }
+    auto const* row = table_.find(key);
+    if (row == nullptr || row->state == key_state::free)
+    {
+        refuse(request, {http_not_found, verdict::may_have_run,
+                         ledger_reasons::unknown_key, do_not_retry});
+        return;
+    }
+    reply_from(request, true, *row);
+}
+
+void ledger::reply_from(request_id const& request, bool asynchronous,
+                        ledger_row const& row)
+{
+    if (row.state == key_state::done)
+    {
+        emit_(known_reply{request, row.outcome});
+        return;
+    }
+    bool const lost_runner =
+        row.state == key_state::started && gone_since(row.run).has_value();
+    if (lost_runner)
+    {
+        refuse(request, {http_conflict, verdict::may_have_run,
+                         ledger_reasons::outcome_unknown, do_not_retry});
+        return;
+    }
+    if (asynchronous && row.asynchronous && row.state != key_state::uncertain)
+    {
+        emit_(accepted_reply{request});
+        return;
+    }
+    refuse(request, in_progress());
+}
+
+void ledger::refuse(request_id const& request, refusal why)
+{
+    emit_(refused_reply{request, std::move(why)});
+}
+
+void ledger::abandon(time_point now, request_id const& request)
+{
+    static_cast<void>(now);
+    for (auto own = own_.begin(); own != own_.end(); ++own)
+    {
+        if (own->second.request != request)
+        {
+            continue;
+        }
+        if (std::holds_alternative<intent_record>(own->second.record))
+        {
+            forget(own);
+        }
+        else
+        {
+            own->second.request.clear();
+            own->second.deadline = time_point::max();
+        }
+        return;
+    }
+}
+
+void ledger::give_up(own_record const& own)
+{
+    if (own.request.empty())
+    {
+        return;
+    }
+    if (std::holds_alternative<intent_record>(own.record))
+    {
+        refuse(own.request, unavailable(ledger_reasons::undecided, retry_soon));
+        return;
+    }
+    refuse(own.request, {http_unavailable, verdict::may_have_run,
+                         ledger_reasons::acceptance_unknown, retry_soon});
+}
+
+void ledger::forget(own_table::iterator own)
+{
+    auto const* header = header_of(own->second.record);
+    auto const deciding = deciding_.find(header->key);
+    if (deciding != deciding_.end() && deciding->second == own->first.sequence)
+    {
+        deciding_.erase(deciding);
+    }
+    own_.erase(own);
+}
+
+// Reading
+
+void ledger::apply(time_point now, log_batch const& batch)
+{
+    if (batch.stream != log_stream::requests)
+    {
+        return;
+    }
+    if (batch.first_retained > table_.next())
+    {
+        restart(batch.first_retained);
+    }
+    begun_ = true;
+    applied_at_ = now;
+    auto const from = table_.next();
+    for (auto const& record : batch.records)
+    {
+        auto const value = decode_ledger_record(record.payload);
+        if (record.position.offset < from || !value.ok())
+        {
+            continue;
+        }
+        auto const effect =
+            table_.apply(record.position.offset, record.time, *value);
+        auto const* header = header_of(*value);
+        if (header == nullptr)
+        {
+            continue;
+        }
+        note_vm(now, header->run);
+        note_open(now, header->key);
+        if (mine(header->run))
+        {
+            settle(now, *value, effect);
+        }
+    }
+    table_.advance(batch.next);
+}
+
+// Forgets what was decided before `origin`, which this VM has not read and
+// never will. What it runs goes on; what it has not been told it may run, it
+// never runs.
+void ledger::restart(log_offset origin)
+{
+    table_.begin(origin);
+    open_.clear();
+    deciding_.clear();
+    for (auto own = own_.begin(); own != own_.end();)
+    {
+        bool const decides =
+            !std::holds_alternative<outcome_record>(own->second.record) &&
+            !std::holds_alternative<release_record>(own->second.record);
+        if (decides)
+        {
+            give_up(own->second);
+            own = own_.erase(own);
+        }
+        else
+        {
+            ++own;
+        }
+    }
+}
+
+void ledger::note_vm(time_point now, run_id const& run)
+{
+    auto& entry = vms_[run.vm];
+    if (run.incarnation > entry.incarnation)
+    {
+        entry = vm_entry{run.incarnation, false, now};
+    }
+}
+
+void ledger::note_open(time_point now, request_key const& key)
+{
+    auto const* row = table_.find(key);
+    if (row == nullptr || row->state != key_state::accepted)
+    {
+        open_.erase(key);
+        return;
+    }
+    auto const [entry, added] =
+        open_.try_emplace(key, open_request{row->generation, now, now});
+    if (!added && entry->second.generation != row->generation)
+    {
+        entry->second = open_request{row->generation, now, now};
+    }
+}
+
+// Draws the conclusion from a record of this VM that it has read back.
+void ledger::settle(time_point now, ledger_record const& record,
+                    record_effect effect)
+{
+    auto const& header = *header_of(record);
+    auto const found = own_.find({header.run.sequence, record.index()});
+    if (found == own_.end())
+    {
+        bool const unwanted_right =
+            effect == record_effect::won && !runs_.contains(header.run) &&
+            (std::holds_alternative<intent_record>(record) ||
+             std::holds_alternative<start_record>(record));
+        if (unwanted_right && ready())
+        {
+            release(now, header, std::holds_alternative<start_record>(record));
+        }
+        return;
+    }
+    if (effect == record_effect::voided)
+    {
+        emit_own(now, found->second);
+        return;
+    }
+    auto const own = found->second;
+    forget(found);
+    auto const* row = table_.find(header.key);
+    bool const holds = row != nullptr && row->run == header.run;
+    holds ? won(now, own) : lost(own);
+}
+
+void ledger::won(time_point now, own_record const& own)
+{
+    auto const& header = *header_of(own.record);
+    bool const late = stop_by_ && now >= *stop_by_;
+    if (std::holds_alternative<intent_record>(own.record))
+    {
+        if (late)
+        {
+            release(now, header, false);
+            refuse(own.request,
+                   unavailable(ledger_reasons::stopping, retry_soon));
+            return;
+        }
+        begin_run(now, own);
+    }
+    else if (std::holds_alternative<start_record>(own.record))
+    {
+        stop_by_ ? release(now, header, true) : begin_run(now, own);
+    }
+    else if (std::holds_alternative<acceptance_record>(own.record))
+    {
+        if (!own.request.empty())
+        {
+            emit_(accepted_reply{own.request});
+        }
+        if (stop_by_)
+        {
+            release(now, header, true);
+            return;
+        }
+        start(now, header.key, *table_.find(header.key));
+    }
+}
+
+void ledger::lost(own_record const& own)
+{
+    bool const asynchronous =
+        std::holds_alternative<acceptance_record>(own.record);
+    if (own.request.empty())
+    {
+        return;
+    }
+    auto const* row = table_.find(header_of(own.record)->key);
+    if (row == nullptr)
+    {
+        refuse(own.request, in_progress());
+        return;
+    }
+    reply_from(own.request, asynchronous, *row);
+}
+
+// Running
+
+void ledger::begin_run(time_point now, own_record const& own)
+{
+    auto const& header = *header_of(own.record);
+    auto const& row = *table_.find(header.key);
+    runs_[header.run] =
+        active_run{own.record, row.content, row.asynchronous, now};
+    emit_(run_request{header.run, header.key, own.request, row.call});
+}
+
+void ledger::start(time_point now, request_key const& key,
+                   ledger_row const& row)
+{
+    append(now, start_record{header_for(key, row.generation)}, {},
+           time_point::max());
+}
+
+void ledger::release(time_point now, record_header header, bool asynchronous)
+{
+    append(now, release_record{std::move(header), asynchronous}, {},
+           time_point::max());
+}
+
+void ledger::finish(time_point now, run_id const& run, run_outcome outcome)
+{
+    auto const found = runs_.find(run);
+    if (found == runs_.end())
+    {
+        return;
+    }
+    auto const active = std::move(found->second);
+    runs_.erase(found);
+    auto const& header = *header_of(active.right);
+    if (outcome.run == verdict::not_run)
+    {
+        release(now, header, active.asynchronous);
+        return;
+    }
+    outcome_record record;
+    record.header = header;
+    record.content = active.content;
+    record.run = static_cast<std::uint8_t>(outcome.run);
+    record.status = outcome.status;
+    record.answer_kept = outcome.answer.size() <= options_.max_answer;
+    record.content_type = std::move(outcome.content_type);
+    if (record.answer_kept)
+    {
+        record.answer = std::move(outcome.answer);
+    }
+    append(now, std::move(record), {}, time_point::max());
+}
+
+// Emission
+
+record_header ledger::header_for(request_key const& key,
+                                 std::uint32_t generation)
+{
+    run_id run{options_.vm, options_.incarnation, next_sequence_++};
+    return {key, generation, std::move(run), table_.basis()};
+}
+
+void ledger::append(time_point now, ledger_record record, request_id request,
+                    time_point deadline)
+{
+    auto const& header = *header_of(record);
+    own_key const key{header.run.sequence, record.index()};
+    bool const decides = !std::holds_alternative<outcome_record>(record) &&
+                         !std::holds_alternative<release_record>(record);
+    if (decides)
+    {
+        deciding_[header.key] = key.sequence;
+    }
+    auto& own = own_[key];
+    own = own_record{std::move(record), std::move(request), deadline, now, 0};
+    if (reachable_)
+    {
+        emit_own(now, own);
+    }
+}
+
+void ledger::emit_own(time_point now, own_record& own)
+{
+    own.emitted = now;
+    ++own.emissions;
+    emit_again(own.record);
+}
+
+void ledger::emit_again(ledger_record record)
+{
+    set_basis(record, table_.basis());
+    emit_(append_record{encode(record)});
+}
+
+// Time
+
+void ledger::set_reachable(time_point now, bool reachable)
+{
+    static_cast<void>(now);
+    reachable_ = reachable;
+}
+
+void ledger::vm_gone(time_point now, std::string const& vm)
+{
+    auto& entry = vms_[vm];
+    if (!entry.gone)
+    {
+        entry.gone = true;
+        entry.since = now;
+    }
+}
+
+void ledger::tick(time_point now)
+{
+    give_up_late(now);
+    if (reachable_)
+    {
+        ask_log_time(now);
+        resend(now);
+    }
+    if (reachable_ && ready())
+    {
+        record_runs_again(now);
+        record_open_again(now);
+        take_over(now);
+    }
+    table_.expire();
+}
+
+void ledger::stop(time_point now, time_point deadline)
+{
+    stop_by_ = deadline;
+    for (auto own = own_.begin(); own != own_.end();)
+    {
+        auto const next = std::next(own);
+        if (std::holds_alternative<start_record>(own->second.record))
+        {
+            forget(own);
+        }
+        own = next;
+    }
+    for (auto const& [key, open] : open_)
+    {
+        auto const* row = table_.find(key);
+        if (mine(row->run) && !row->orphaned)
+        {
+            release(now, {key, open.generation, row->run, table_.basis()},
+                    true);
+        }
+    }
+}
+
+bool ledger::ready() const
+{
+    return begun_ && table_.complete();
+}
+
+bool ledger::idle() const
+{
+    return own_.empty() && runs_.empty();
+}
+
+void ledger::resend(time_point now)
+{
+    for (auto& [key, own] : own_)
+    {
+        auto const doublings =
+            std::clamp(own.emissions - 1, 0, max_resend_doublings);
+        if (now - own.emitted >= options_.resend_interval * (1 << doublings))
+        {
+            emit_own(now, own);
+        }
+    }
+}
+
+void ledger::give_up_late(time_point now)
+{
+    for (auto own = own_.begin(); own != own_.end();)
+    {
+        auto const next = std::next(own);
+        if (own->second.deadline <= now)
+        {
+            give_up(own->second);
+            forget(own);
+        }
+        own = next;
+    }
+}
+
+void ledger::record_runs_again(time_point now)
+{
+    for (auto& [run, active] : runs_)
+    {
+        auto const* row = table_.find(header_of(active.right)->key);
+        if (untouched(now, row) > options_.window / record_again_part &&
+            now - active.recorded > options_.window / look_again_part)
+        {
+            active.recorded = now;
+            emit_again(active.right);
+        }
+    }
+}
+
+void ledger::record_open_again(time_point now)
+{
+    auto const due = options_.window / record_again_part;
+    for (auto& [key, open] : open_)
+    {
+        auto const* row = table_.find(key);
+        if (untouched(now, row) > due + share(key, due) &&
+            now - open.recorded > options_.window / look_again_part)
+        {
+            open.recorded = now;
+            emit_again(acceptance_record{
+                {key, row->generation, row->run, table_.basis()},
+                row->content,
+                row->orphaned,
+                row->call});
+        }
+    }
+}
+
+void ledger::take_over(time_point now)
+{
+    if (stop_by_)
+    {
+        return;
+    }
+    for (auto const& [key, open] : open_)
+    {
+        auto const* row = table_.find(key);
+        if (!deciding_.contains(key) && now >= start_due(key, *row, open))
+        {
+            start(now, key, *row);
+        }
+    }
+}
+
+void ledger::ask_log_time(time_point now)
+{
+    bool const known = ready() && table_.basis().time_us != 0;
+    auto const interval = options_.window / look_again_part;
+    if (known || (asked_time_ && now - *asked_time_ < interval))
+    {
+        return;
+    }
+    asked_time_ = now;
+    emit_again(clock_record{{options_.vm, options_.incarnation, 0}});
+}
+
+time_point ledger::start_due(request_key const& key, ledger_row const& row,
+                             open_request const& open) const
+{
+    if (row.orphaned)
+    {
+        auto const doublings = std::min(row.generation, max_restart_doublings);
+        auto const delay = first_restart_delay * (1 << doublings);
+        return open.seen + delay + share(key, delay);
+    }
+    if (mine(row.run))
+    {
+        return open.seen;
+    }
+    auto const spread = share(key, options_.takeover_spread);
+    if (auto const since = gone_since(row.run))
+    {
+        return std::max(open.seen, *since) + spread;
+    }
+    return open.seen + options_.takeover_delay + spread;
+}
+
+// Questions
+
+bool ledger::mine(run_id const& run) const
+{
+    return run.vm == options_.vm && run.incarnation == options_.incarnation;
+}
+
+// Since when the process that wrote `run` is known to be gone.
+std::optional<time_point> ledger::gone_since(run_id const& run) const
+{
+    auto const found = vms_.find(run.vm);
+    if (found == vms_.end())
+    {
+        return std::nullopt;
+    }
+    bool const replaced = run.incarnation < found->second.incarnation;
+    if (replaced || found->second.gone)
+    {
+        return found->second.since;
+    }
+    return std::nullopt;
+}
+
+// This VM's part of `whole` for `key`, so that VMs act on it one by one.
+duration ledger::share(request_key const& key, duration whole) const
+{
+    auto const mixed = std::hash<std::string>()(options_.vm) ^ key.high;
+    auto const step = static_cast<std::int64_t>(mixed % share_steps);
+    return whole * step / share_steps;
+}
+
+// The log's time, carried on by this VM's clock since the last batch.
+std::int64_t ledger::log_now_us(time_point now) const
+{
+    auto const since = std::max(duration::zero(), now - applied_at_);
+    return table_.basis().time_us + since.count();
+}
+
+duration ledger::untouched(time_point now, ledger_row const* row) const
+{
+    return row == nullptr ? duration::max()
+                          : duration(log_now_us(now) - row->touched_us);
+}
+
+// Snapshots
+
+std::string ledger::snapshot() const
+{
+    return ready() ? table_.snapshot() : std::string();
+}
+
+absl::Status ledger::restore(time_point now, std::string const& snapshot)
+{
+    if (ready())
+    {
+        return absl::FailedPreconditionError("ready already");
+    }
+    ledger_table table(options_.window, options_.max_bytes);
+    if (auto status = table.restore(snapshot); !status.ok())
+    {
+        return status;
+    }
+    if (!table.complete() || table.next() < table_.next())
+    {
+        return absl::FailedPreconditionError("snapshot is too old");
+    }
+    table_ = std::move(table);
+    begun_ = true;
+    applied_at_ = now;
+    open_.clear();
+    table_.for_each([this, now](request_key const& key, ledger_row const&)
+                    { note_open(now, key); });
+    return absl::OkStatus();
+}
+
+} // namespace amarantharch
--- a/src/core/log.hpp
+++ b/src/core/log.hpp
@@ -56,6 +56,7 @@
     log_position position;
     record_id id;
     std::string payload;
+    time_point time{}; // when the log took it, by the log's clock
 };
 
 // What one read returned.
