--- /dev/null
+++ b/src/core/admission.hpp
@@ -0,0 +1,207 @@
+// Admits, queues or refuses requests of one service at this VM.
+//
+// A request runs at once while fewer than the concurrency limit are in flight
+// and nobody waits before it; else it waits in the fair queue for as long as
+// its class and deadline allow. It is refused at once, before any upstream has
+// seen it, when the wait predicted from the tokens ahead of it and the measured
+// service rate is longer than that, or when the queue is full. A refusal is
+// not_run by construction and says when to come back: the predicted wait, and
+// a spread of up to half of it derived from the request's id, so that refused
+// callers do not come back together.
+//
+// Part of the limit is kept for interactive requests: batch and standard
+// requests may not use the last `interactive_reserve` of it.
+//
+// Shares between VMs: usage() is a cumulative count per organisation, which
+// peers merge by maximum: late, repeated and reordered messages do no harm.
+// While a peer is not heard, each VM is still fair by its own counters; the
+// error is at most the tokens served at the unheard VMs since the last message
+// from them, and the weight of what is heard is bounded by the fair queue.
+//
+// Usage: offer(); for run_now and each of release(): send it; then on_first()
+// once if an answer began and on_end() exactly once. release() after each
+// on_end() and each tick. Cost: O(organisations) each.
+#ifndef AMARANTHARCH_CORE_ADMISSION_HPP
+#define AMARANTHARCH_CORE_ADMISSION_HPP
+
+#include "core/call.hpp"
+#include "core/concurrency_limit.hpp"
+#include "core/fair_queue.hpp"
+#include "core/time.hpp"
+
+#include <absl/container/flat_hash_map.h>
+#include <msgpack.hpp>
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace amarantharch
+{
+
+// The longest wait in the queue and the first-byte target of a class.
+struct class_admission
+{
+    duration max_wait;
+    duration first_byte_target;
+};
+
+struct admission_options
+{
+    concurrency_limit_options limit;
+    fair_queue_options queue;
+    std::array<class_admission, request_class_count> classes{
+        {{std::chrono::milliseconds(500), std::chrono::milliseconds(700)},
+         {std::chrono::milliseconds(2'000), std::chrono::milliseconds(1'500)},
+         {std::chrono::milliseconds(15'000),
+          std::chrono::milliseconds(5'000)}}};
+    double interactive_reserve = 0.15;
+    duration min_retry_after = std::chrono::milliseconds(250);
+    duration max_retry_after = std::chrono::seconds(60);
+};
+
+struct admission_request
+{
+    request_id id;
+    std::string organisation;
+    request_class priority = request_class::standard;
+    std::uint32_t tokens = 1; // estimated: uncached prompt and output
+    std::size_t bytes = 0;
+    std::optional<time_point> deadline; // the caller's, if it named one
+};
+
+enum class admission_outcome : std::uint8_t
+{
+    run_now,
+    queued,
+    refused,
+};
+
+inline constexpr name_table<admission_outcome, 3> admission_outcome_names{{
+    {admission_outcome::run_now, "run_now"},
+    {admission_outcome::queued, "queued"},
+    {admission_outcome::refused, "refused"},
+}};
+
+struct refused_request
+{
+    request_id id;
+    refusal why;
+};
+
+struct admission_result
+{
+    admission_outcome outcome = admission_outcome::refused;
+    // The final answer if refused.
+    std::optional<refusal> why;
+    // Other requests that were given up to make room for this one.
+    std::vector<refused_request> given_up;
+};
+
+// What became of waiting requests.
+struct admission_release
+{
+    std::vector<request_id> run; // to be sent now, in this order
+    std::vector<refused_request> refused;
+};
+
+// Tokens that one VM has served to one organisation since it started.
+struct organisation_usage
+{
+    std::string organisation;
+    std::uint64_t tokens = 0;
+    MSGPACK_DEFINE(organisation, tokens)
+};
+
+// Gossiped; a higher incarnation replaces a lower one.
+struct usage_summary
+{
+    std::string vm;
+    std::uint64_t incarnation = 0;
+    std::vector<organisation_usage> served;
+    MSGPACK_DEFINE(vm, incarnation, served)
+};
+
+class admission
+{
+public:
+    explicit admission(admission_options options);
+
+    void set_weight(std::string const& organisation, double weight);
+
+    admission_result offer(time_point now, admission_request const& what);
+
+    // The caller of a waiting request left; true if it waited here.
+    bool abandon(request_id const& id);
+
+    // The answer of an admitted request began.
+    void on_first(time_point now, request_id const& id);
+
+    // An admitted request ended; `tokens`: what it really used.
+    void on_end(time_point now, request_id const& id, std::uint32_t tokens);
+
+    admission_release release(time_point now);
+
+    usage_summary usage(std::string vm, std::uint64_t incarnation) const;
+    void merge(usage_summary const& peer);
+    // The peer is gone for good: its counters are dropped.
+    void forget_peer(std::string const& vm);
+
+    std::uint32_t limit() const
+    {
+        return limit_.limit();
+    }
+    std::size_t in_flight() const
+    {
+        return running_.size();
+    }
+    std::size_t waiting() const
+    {
+        return queue_.size();
+    }
+    // Tokens per millisecond when the whole limit is in use, by what requests
+    // used lately and how long they ran; 0: not known yet.
+    double tokens_per_ms() const;
+
+private:
+    struct running_row
+    {
+        std::string organisation;
+        request_class priority = request_class::standard;
+        std::uint32_t tokens = 0; // charged
+        time_point started;
+        bool answer_begun = false;
+    };
+
+    struct peer_row
+    {
+        std::uint64_t incarnation = 0;
+        std::map<std::string, std::uint64_t> served;
+    };
+
+    std::uint32_t limit_for(request_class priority) const;
+    std::optional<request_class> lowest_runnable() const;
+    duration predicted_wait(admission_request const& what) const;
+    duration allowed_wait(time_point now, admission_request const& what) const;
+    refusal refuse(request_id const& id, std::string reason,
+                   duration wait) const;
+    void start(time_point now, queued_request const& what);
+    void measure(duration ran, std::uint32_t tokens);
+
+    admission_options options_;
+    concurrency_limit limit_;
+    fair_queue queue_;
+    absl::flat_hash_map<request_id, running_row> running_;
+    std::map<std::string, std::uint64_t> served_; // tokens, by organisation
+    std::map<std::string, peer_row> peers_;
+    // Means over the requests that ended lately; the oldest fade out.
+    double mean_tokens_ = 0;
+    double mean_run_ms_ = 0;
+};
+
+} // namespace amarantharch
+
+#endif
--- /dev/null
+++ b/src/core/concurrency_limit.hpp
@@ -0,0 +1,54 @@
+// A limit on requests in flight that follows the measured latency.
+//
+// Additive increase, multiplicative decrease on windows: a window in which
+// more than `late_share` of the samples missed the target shrinks the limit; a
+// window that met it and used the limit grows it. A shrink counts only samples
+// of requests that started after the previous shrink, so one congestion is
+// answered once. Cost: O(1) a sample, about 100 bytes.
+#ifndef AMARANTHARCH_CORE_CONCURRENCY_LIMIT_HPP
+#define AMARANTHARCH_CORE_CONCURRENCY_LIMIT_HPP
+
+#include "core/time.hpp"
+
+#include <cstdint>
+
+namespace amarantharch
+{
+
+struct concurrency_limit_options
+{
+    std::uint32_t initial = 64;
+    std::uint32_t floor = 4;
+    std::uint32_t ceiling = 100'000;
+    double late_share = 0.05;
+    double shrink_factor = 0.85;
+    double growth_share = 0.05; // of the limit, each window; at least 1
+    std::uint32_t window_samples = 40;
+};
+
+class concurrency_limit
+{
+public:
+    explicit concurrency_limit(concurrency_limit_options options);
+
+    // A request that started at `started` had its first answer byte now.
+    // `late`: it missed its class's target.
+    void on_sample(time_point now, time_point started, bool late,
+                   std::uint32_t in_flight);
+
+    std::uint32_t limit() const;
+
+private:
+    void close_window(time_point now);
+
+    concurrency_limit_options options_;
+    double limit_;
+    time_point shrunk_at_;
+    std::uint32_t samples_ = 0;
+    std::uint32_t late_samples_ = 0;
+    std::uint32_t peak_in_flight_ = 0;
+};
+
+} // namespace amarantharch
+
+#endif
--- /dev/null
+++ b/src/core/routing.cpp
@@ -0,0 +1,377 @@
+#include "core/routing.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <limits>
+
+namespace amarantharch
+{
+
+namespace
+{
+
+// Cost per millisecond by which the prediction misses the class's target.
+constexpr double lateness_factor = 3;
+
+// An estimate of output where the request names none, in tokens.
+constexpr double default_output_tokens = 128;
+
+// Attempts remembered for an upstream between two of its reports.
+constexpr std::size_t max_recent = 4'096;
+
+double millis_between(time_point from, time_point to)
+{
+    return std::chrono::duration<double, std::milli>(to - from).count();
+}
+
+class_routing const& class_of(routing_options const& options,
+                              request_features const& what)
+{
+    return options.classes[static_cast<std::size_t>(what.priority)];
+}
+
+} // namespace
+
+std::array<router::strategy_row, 4> const router::strategies{{
+    {routing_strategy::predicted, &router::choose_predicted},
+    {routing_strategy::round_robin, &router::choose_round_robin},
+    {routing_strategy::least_in_flight, &router::choose_least_in_flight},
+    {routing_strategy::power_of_two, &router::choose_power_of_two},
+}};
+
+router::router(routing_options options)
+    : options_(options), choose_with_(&router::choose_predicted),
+      random_(options_.seed), cache_(options_.cache_budget_blocks)
+{
+    for (strategy_row const& row : strategies)
+    {
+        if (row.strategy == options_.strategy)
+        {
+            choose_with_ = row.choose;
+        }
+    }
+}
+
+std::optional<choice>
+router::choose(time_point now, request_features const& what,
+               upstream_table const& table,
+               std::vector<upstream_index> const& exclusions)
+{
+    collect_candidates(now, what, table, exclusions);
+    if (candidates_.empty())
+    {
+        return std::nullopt;
+    }
+    return (this->*choose_with_)(now, what, table);
+}
+
+void router::collect_candidates(time_point now, request_features const& what,
+                                upstream_table const& table,
+                                std::vector<upstream_index> const& exclusions)
+{
+    candidates_.clear();
+    auto const& ring = table.ring(what.service);
+    auto const usable = [&](upstream_index index)
+    {
+        upstream_row const& row = table.row(index);
+        return row.takes_work(now) &&
+               (what.version.empty() || row.profile.version == what.version) &&
+               std::find(exclusions.begin(), exclusions.end(), index) ==
+                   exclusions.end();
+    };
+    auto const collected = [&](upstream_index index)
+    {
+        return std::any_of(candidates_.begin(), candidates_.end(),
+                           [index](candidate const& c)
+                           { return c.upstream == index; });
+    };
+    // Walks the ring once from the first point at or after `hash` and takes
+    // usable upstreams until there are `enough`.
+    auto const walk = [&](std::uint64_t hash, std::size_t enough, bool home)
+    {
+        auto const first = std::partition_point(ring.begin(), ring.end(),
+                                                [hash](auto const& point)
+                                                { return point.hash < hash; });
+        auto const start = static_cast<std::size_t>(first - ring.begin());
+        for (std::size_t i = 0; i < ring.size(); ++i)
+        {
+            if (candidates_.size() >= enough)
+            {
+                return;
+            }
+            upstream_index const index =
+                ring[(start + i) % ring.size()].upstream;
+            if (usable(index) && !collected(index))
+            {
+                candidates_.push_back({index, home});
+            }
+        }
+    };
+    if (!what.prefix.empty())
+    {
+        walk(what.prefix.front(), options_.home_candidates, true);
+    }
+    walk(options_.seed * 0x9E3779B97F4A7C15u, options_.max_candidates, false);
+}
+
+std::optional<choice> router::choose_predicted(time_point now,
+                                               request_features const& what,
+                                               upstream_table const& table)
+{
+    class_routing const& bounds = class_of(options_, what);
+    double total_load = 0;
+    for (candidate const& c : candidates_)
+    {
+        total_load += load_of(c.upstream, table.row(c.upstream));
+    }
+    double const bound =
+        options_.affinity_load_bound *
+            (total_load / static_cast<double>(candidates_.size())) +
+        0.5;
+    std::optional<choice> best;
+    double best_cost = std::numeric_limits<double>::infinity();
+    for (std::size_t i = 0; i < candidates_.size(); ++i)
+    {
+        candidate const& c = candidates_[i];
+        upstream_row const& row = table.row(c.upstream);
+        bool const affinity = load_of(c.upstream, row) <= bound;
+        choice const option = describe(now, what, table, c.upstream, affinity);
+        double cost = option.predicted_ms;
+        cost += row.profile.price_per_hour * bounds.ms_per_price;
+        cost += lateness_factor *
+                std::max(0.0, cost - bounds.first_token_target_ms);
+        if (affinity && c.home && option.predicted_cached_tokens == 0)
+        {
+            // The nearer home is preferred, so that prefixes gather.
+            double const rank = static_cast<double>(i + 1);
+            cost -= options_.home_discount / rank * what.prompt_tokens /
+                    row.profile.prefill_tokens_per_ms;
+        }
+        if (cost < best_cost)
+        {
+            best_cost = cost;
+            best = option;
+        }
+    }
+    return best;
+}
+
+std::optional<choice> router::choose_round_robin(time_point now,
+                                                 request_features const& what,
+                                                 upstream_table const& table)
+{
+    candidate const& c = candidates_[turns_ % candidates_.size()];
+    ++turns_;
+    return describe(now, what, table, c.upstream, true);
+}
+
+std::optional<choice>
+router::choose_least_in_flight(time_point now, request_features const& what,
+                               upstream_table const& table)
+{
+    // Ties are broken by turns, not by place.
+    std::size_t const start = turns_++ % candidates_.size();
+    upstream_index best = candidates_[start].upstream;
+    for (std::size_t i = 1; i < candidates_.size(); ++i)
+    {
+        upstream_index const other =
+            candidates_[(start + i) % candidates_.size()].upstream;
+        if (table.row(other).in_flight < table.row(best).in_flight)
+        {
+            best = other;
+        }
+    }
+    return describe(now, what, table, best, true);
+}
+
+std::optional<choice> router::choose_power_of_two(time_point now,
+                                                  request_features const& what,
+                                                  upstream_table const& table)
+{
+    upstream_index const a =
+        candidates_[random_() % candidates_.size()].upstream;
+    upstream_index const b =
+        candidates_[random_() % candidates_.size()].upstream;
+    bool const first = table.row(a).in_flight <= table.row(b).in_flight;
+    return describe(now, what, table, first ? a : b, true);
+}
+
+choice router::describe(time_point now, request_features const& what,
+                        upstream_table const& table, upstream_index upstream,
+                        bool affinity) const
+{
+    upstream_row const& row = table.row(upstream);
+    double cached = 0;
+    if (affinity)
+    {
+        cached = static_cast<double>(
+                     cache_.predicted_blocks(upstream, what.prefix)) *
+                 tokens_per_block * cache_.confidence(upstream);
+    }
+    cached = std::min(cached, static_cast<double>(what.prompt_tokens));
+    double const work =
+        queued_tokens(now, upstream, row) + what.prompt_tokens - cached;
+    choice result;
+    result.upstream = upstream;
+    result.predicted_cached_tokens = static_cast<std::uint32_t>(cached);
+    result.predicted_ms =
+        work / row.profile.prefill_tokens_per_ms + slot_wait_ms(upstream, row);
+    return result;
+}
+
+double router::queued_tokens(time_point now, upstream_index upstream,
+                             upstream_row const& row) const
+{
+    double const rate = row.profile.prefill_tokens_per_ms;
+    sent_work const none;
+    sent_work const& own = upstream < sent_.size() ? sent_[upstream] : none;
+    double const own_waiting = static_cast<double>(own.awaiting_tokens);
+    if (!row.report)
+    {
+        return own_waiting;
+    }
+    double const age = millis_between(row.report->measured_at, now);
+    double const known =
+        static_cast<double>(row.report->queued_prefill_tokens) +
+        static_cast<double>(own.tokens_since_report);
+    return std::max(own_waiting, known - age * rate);
+}
+
+double router::load_of(upstream_index upstream, upstream_row const& row) const
+{
+    double load = row.in_flight;
+    if (row.report)
+    {
+        std::uint32_t const since =
+            upstream < sent_.size() ? sent_[upstream].attempts_since_report : 0;
+        load = std::max(load, static_cast<double>(row.report->running +
+                                                  row.report->waiting + since));
+    }
+    return load / std::max(1u, row.profile.slots);
+}
+
+double router::slot_wait_ms(upstream_index upstream,
+                            upstream_row const& row) const
+{
+    double const load = load_of(upstream, row);
+    if (load < 1)
+    {
+        return 0;
+    }
+    // Slots free up evenly over the time that a stream holds one.
+    double const held = default_output_tokens * row.profile.ms_per_output_token;
+    return (load - 1) * held + held / std::max(1u, row.profile.slots);
+}
+
+void router::on_sent(time_point now, attempt_id attempt,
+                     request_features const& what, choice const& picked,
+                     upstream_table& table)
+{
+    upstream_row& row = table.row(picked.upstream);
+    std::uint32_t const uncached =
+        what.prompt_tokens -
+        std::min(what.prompt_tokens, picked.predicted_cached_tokens);
+    auto const [place, added] = attempts_.try_emplace(attempt);
+    if (!added)
+    {
+        return;
+    }
+    attempt_row& sent = place->second;
+    sent.upstream = picked.upstream;
+    sent.uncached_tokens = uncached;
+    sent.predicted_cached_tokens = static_cast<std::uint32_t>(
+        cache_.predicted_blocks(picked.upstream, what.prefix) *
+        tokens_per_block);
+    ++row.in_flight;
+    sent_work& own = work_at(picked.upstream);
+    own.awaiting_tokens += uncached;
+    own.tokens_since_report += uncached;
+    ++own.attempts_since_report;
+    own.recent.push_back({now, uncached});
+    if (own.recent.size() > max_recent)
+    {
+        drop_oldest(own);
+    }
+    cache_.on_sent(picked.upstream, what.prefix);
+}
+
+void router::on_first_token(attempt_id attempt,
+                            std::optional<std::uint32_t> cached_tokens)
+{
+    auto const known = attempts_.find(attempt);
+    if (known == attempts_.end() || known->second.first_token_seen)
+    {
+        return;
+    }
+    attempt_row& row = known->second;
+    row.first_token_seen = true;
+    work_at(row.upstream).awaiting_tokens -= row.uncached_tokens;
+    if (cached_tokens)
+    {
+        cache_.on_reported(row.upstream,
+                           row.predicted_cached_tokens / tokens_per_block,
+                           *cached_tokens / tokens_per_block);
+    }
+}
+
+void router::on_end(attempt_id attempt, upstream_table& table)
+{
+    auto const known = attempts_.find(attempt);
+    if (known == attempts_.end())
+    {
+        return;
+    }
+    on_first_token(attempt, std::nullopt);
+    --table.row(known->second.upstream).in_flight;
+    attempts_.erase(known);
+}
+
+void router::on_report(upstream_index upstream, upstream_report const& report,
+                       upstream_table& table)
+{
+    upstream_row& row = table.row(upstream);
+    if (row.report && row.report->measured_at >= report.measured_at)
+    {
+        return;
+    }
+    row.report = report;
+    sent_work& own = work_at(upstream);
+    while (!own.recent.empty() &&
+           own.recent.front().sent_at <= report.measured_at)
+    {
+        drop_oldest(own);
+    }
+}
+
+void router::drop_oldest(sent_work& own)
+{
+    own.tokens_since_report -= own.recent.front().tokens;
+    --own.attempts_since_report;
+    own.recent.pop_front();
+}
+
+void router::on_cache_events(upstream_index upstream,
+                             cache_events const& events)
+{
+    cache_.on_events(upstream, events);
+}
+
+void router::on_upstream_reset(upstream_index upstream)
+{
+    cache_.forget(upstream);
+    sent_work& own = work_at(upstream);
+    own.recent.clear();
+    own.tokens_since_report = 0;
+    own.attempts_since_report = 0;
+}
+
+router::sent_work& router::work_at(upstream_index upstream)
+{
+    if (upstream >= sent_.size())
+    {
+        sent_.resize(upstream + 1);
+    }
+    return sent_[upstream];
+}
+
+} // namespace amarantharch
--- /dev/null
+++ b/src/core/upstream_table.cpp
@@ -0,0 +1,162 @@
+#include "core/upstream_table.hpp"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace amarantharch
+{
+
+namespace
+{
+
+std::uint64_t hash_of(std::string const& name)
+{
+    return XXH3_64bits(name.data(), name.size());
+}
+
+// Points with equal hashes are ordered by index.
+bool before(upstream_table::ring_point const& a,
+            upstream_table::ring_point const& b)
+{
+    return a.hash != b.hash ? a.hash < b.hash : a.upstream < b.upstream;
+}
+
+} // namespace
+
+upstream_index upstream_table::put(upstream_profile profile,
+                                   std::uint64_t incarnation)
+{
+    auto const known = by_name_.find(profile.name);
+    if (known == by_name_.end())
+    {
+        upstream_index const index = free_index();
+        rows_[index] = upstream_row{};
+        rows_[index].incarnation = incarnation;
+        rows_[index].profile = std::move(profile);
+        by_name_.emplace(rows_[index].profile.name, index);
+        enter_ring(index);
+        return index;
+    }
+    upstream_index const index = known->second;
+    upstream_row& row = rows_[index];
+    if (incarnation < row.incarnation)
+    {
+        return index;
+    }
+    if (incarnation > row.incarnation)
+    {
+        row.incarnation = incarnation;
+        row.leaving = false;
+        row.quarantined = false;
+        row.ejected_until = time_point();
+        row.report.reset();
+    }
+    leave_ring(index);
+    row.profile = std::move(profile);
+    enter_ring(index);
+    return index;
+}
+
+bool upstream_table::mark_leaving(std::string_view name,
+                                  std::uint64_t incarnation)
+{
+    upstream_row* const row = row_of(name, incarnation);
+    if (row == nullptr || row->leaving)
+    {
+        return false;
+    }
+    row->leaving = true;
+    return true;
+}
+
+bool upstream_table::mark_quarantined(std::string_view name,
+                                      std::uint64_t incarnation)
+{
+    upstream_row* const row = row_of(name, incarnation);
+    if (row == nullptr || row->quarantined)
+    {
+        return false;
+    }
+    row->quarantined = true;
+    return true;
+}
+
+bool upstream_table::remove(std::string_view name, std::uint64_t incarnation)
+{
+    upstream_row* const row = row_of(name, incarnation);
+    if (row == nullptr)
+    {
+        return false;
+    }
+    upstream_index const index = by_name_.find(name)->second;
+    leave_ring(index);
+    row->present = false;
+    by_name_.erase(by_name_.find(name));
+    return true;
+}
+
+std::optional<upstream_index> upstream_table::find(std::string_view name) const
+{
+    auto const known = by_name_.find(name);
+    if (known == by_name_.end())
+    {
+        return std::nullopt;
+    }
+    return known->second;
+}
+
+std::vector<upstream_table::ring_point> const&
+upstream_table::ring(std::string_view service) const
+{
+    static std::vector<ring_point> const empty;
+    auto const known = rings_.find(service);
+    return known == rings_.end() ? empty : known->second;
+}
+
+upstream_row* upstream_table::row_of(std::string_view name,
+                                     std::uint64_t incarnation)
+{
+    auto const known = by_name_.find(name);
+    if (known == by_name_.end())
+    {
+        return nullptr;
+    }
+    upstream_row& row = rows_[known->second];
+    return row.incarnation == incarnation ? &row : nullptr;
+}
+
+void upstream_table::enter_ring(upstream_index index)
+{
+    upstream_profile const& profile = rows_[index].profile;
+    std::vector<ring_point>& points = rings_[profile.service];
+    ring_point const point{hash_of(profile.name), index};
+    points.insert(std::upper_bound(points.begin(), points.end(), point, before),
+                  point);
+}
+
+void upstream_table::leave_ring(upstream_index index)
+{
+    auto const ring = rings_.find(rows_[index].profile.service);
+    std::erase_if(ring->second, [index](ring_point const& point)
+                  { return point.upstream == index; });
+    if (ring->second.empty())
+    {
+        rings_.erase(ring);
+    }
+}
+
+upstream_index upstream_table::free_index()
+{
+    for (upstream_index i = 0; i < rows_.size(); ++i)
+    {
+        if (!rows_[i].present && rows_[i].in_flight == 0)
+        {
+            return i;
+        }
+    }
+    rows_.emplace_back();
+    return static_cast<upstream_index>(rows_.size() - 1);
+}
+
+} // namespace amarantharch
