--- /dev/null
+++ b/src/core/configuration.hpp
@@ -0,0 +1,209 @@
+// The configuration that operators publish: INI text, its faults, its tables.
+//
+// Three layers. parse: text to sections with line numbers, all faults of
+// syntax at once. merge: a change (sections to set or remove) applied to the
+// sections in force. compile: sections to typed tables with every selector
+// resolved, all faults of content at once. publish, check and every reader of
+// the log run the same code, so a revision is valid everywhere or nowhere.
+//
+//     [organisation NAME]  weight, priority, key_digest, label.X
+//     [service NAME]       kind = engine|plain, idempotent = yes|no,
+//                          repeat_window_ms, first_token_ms, between_tokens_ms,
+//                          retry_ratio, label.X
+//     [route NAME]         path (prefix), service, organisations (selector)
+//     [upstream NAME]      address = IP:PORT, service, version,
+//                          failure_domain, class, price, concurrency, label.X
+//     [move NAME]          select (upstreams' selector), from, to, deadline_us
+//     [limits]             see configuration_limits
+//
+// A change may hold `[remove upstream NAME]`. Cost: linear in the text; a merge
+// and compile are linear in the whole configuration.
+#ifndef AMARANTHARCH_CORE_CONFIGURATION_HPP
+#define AMARANTHARCH_CORE_CONFIGURATION_HPP
+
+#include "core/name_table.hpp"
+#include "core/selector.hpp"
+#include "core/time.hpp"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace amarantharch
+{
+
+enum class section_kind : std::uint8_t
+{
+    organisation,
+    service,
+    route,
+    upstream,
+    move,
+    limits,
+};
+
+inline constexpr name_table<section_kind, 6> section_kind_names{{
+    {section_kind::organisation, "organisation"},
+    {section_kind::service, "service"},
+    {section_kind::route, "route"},
+    {section_kind::upstream, "upstream"},
+    {section_kind::move, "move"},
+    {section_kind::limits, "limits"},
+}};
+
+// One thing wrong with a configuration text.
+struct configuration_fault
+{
+    int line = 0;   // from 1; 0 if no line is at fault
+    int column = 0; // from 1
+    std::string section;
+    std::string key;
+    std::string message; // what was expected and what was found
+};
+
+std::string to_string(configuration_fault const& fault);
+
+struct setting
+{
+    std::string key;
+    std::string value;
+    int line = 0;
+    int column = 0; // of the value's first character
+};
+
+struct section_id
+{
+    section_kind kind = section_kind::limits;
+    std::string name; // empty for limits
+    auto operator<=>(section_id const&) const = default;
+};
+
+struct section
+{
+    bool removed = false; // [remove …], only in a change
+    int line = 0;
+    std::vector<setting> settings;
+};
+
+using section_table = std::map<section_id, section>;
+
+struct parsed_configuration
+{
+    section_table sections;
+    std::vector<configuration_fault> faults;
+};
+
+// Reads INI text. Sections without a fault are returned beside the faults.
+parsed_configuration parse_configuration(std::string_view text);
+
+// Applies `change` to `current`: its sections replace those of the same id.
+section_table merge(section_table current, section_table const& change);
+
+// The canonical text: the same tables always give the same bytes.
+std::string to_text(section_table const& sections);
+
+enum class service_kind : std::uint8_t
+{
+    engine, // streams tokens
+    plain,  // HTTP of any kind
+};
+
+inline constexpr name_table<service_kind, 2> service_kind_names{{
+    {service_kind::engine, "engine"},
+    {service_kind::plain, "plain"},
+}};
+
+struct organisation_row
+{
+    std::string name;
+    double weight = 1;
+    int priority = 5;       // 0 lowest to 9 highest
+    std::string key_digest; // hex of the SHA-256 of the callers' key, or empty
+    label_map labels;
+};
+
+struct service_row
+{
+    std::string name;
+    service_kind kind = service_kind::plain;
+    bool idempotent = false;
+    duration repeat_window{}; // calls alike within it are one call; 0: never
+    duration first_token_target{};
+    duration between_tokens_target{};
+    double retry_ratio = 0.1; // retries allowed per successful call
+    label_map labels;
+};
+
+struct route_row
+{
+    std::string name;
+    std::string path;    // prefix of the request's path; the longest wins
+    std::size_t service; // index in services
+    selector organisations;
+};
+
+struct upstream_row
+{
+    std::string name;
+    std::string address; // ip:port
+    std::size_t service; // index in services
+    std::string version;
+    std::string failure_domain;
+    std::string machine_class;
+    double price = 0;             // per hour
+    std::int64_t concurrency = 0; // 0: learnt
+    label_map labels;             // with service, version, zone, class, name
+};
+
+struct move_row
+{
+    std::string name;
+    std::string from;
+    std::string to;
+    time_point deadline{};
+    std::vector<std::size_t> upstreams; // selected, with version from or to
+};
+
+struct configuration_limits
+{
+    std::int64_t queue_bytes = 64LL * 1024 * 1024;
+    std::int64_t body_bytes = 8LL * 1024 * 1024;
+    duration queue_time = std::chrono::seconds(2);
+    double bad_version_share = 0.01;
+};
+
+// The typed tables of one revision; rows are ordered by name.
+struct configuration
+{
+    std::vector<organisation_row> organisations;
+    std::vector<service_row> services;
+    std::vector<route_row> routes;
+    std::vector<upstream_row> upstreams;
+    std::vector<move_row> moves;
+    configuration_limits limits;
+};
+
+struct compiled_configuration
+{
+    configuration tables;
+    std::vector<configuration_fault> faults;
+};
+
+compiled_configuration compile(section_table const& sections);
+
+// Whom `text` would select, for a dry run; names in order.
+struct selection
+{
+    std::vector<std::string> organisations;
+    std::vector<std::string> services;
+    std::vector<std::string> upstreams;
+};
+
+selection select(configuration const& tables, selector const& which);
+
+} // namespace amarantharch
+
+#endif
--- /dev/null
+++ b/src/core/configuration_store.hpp
@@ -0,0 +1,228 @@
+// The revision in force, decided by reading the configuration stream.
+//
+// A change record counts if and only if, at its position, (1) its base is the
+// revision in force, (2) its signature verifies and (3) the merged
+// configuration compiles without a fault. Positions only grow and a base names
+// one position, so of racing operators exactly the first wins, a repeated
+// record never counts twice, and nothing reverts.
+//
+// Retention. Before the newest copy of the revision in force expires, some VM
+// appends a checkpoint: the whole text, its revision, and the offset `as_of` up
+// to which its writer had read. A reader whose start lies behind the retained
+// records adopts a checkpoint only if it has read every offset after `as_of`,
+// and applies the changes after `as_of` to it: so a late checkpoint by a
+// paused VM cannot bring an older revision back. A snapshot from a peer is a
+// checkpoint that did not come through the log, under the same rule.
+//
+// Each VM delays its checkpoint by a hash of its name over a tenth of the
+// retention; the first to land spares the others theirs.
+#ifndef AMARANTHARCH_CORE_CONFIGURATION_STORE_HPP
+#define AMARANTHARCH_CORE_CONFIGURATION_STORE_HPP
+
+#include "core/configuration.hpp"
+#include "core/log.hpp"
+
+#include <absl/status/status.h>
+#include <absl/status/statusor.h>
+
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace amarantharch
+{
+
+// A revision is named by the log position of its record; {0,0} is none.
+using revision = log_position;
+
+// What an operator signs and publishes.
+struct configuration_change
+{
+    std::string publish_id; // the same for each repeat of one publish
+    revision base;          // the revision it was written against
+    bool replaces_all = false;
+    std::string author;
+    std::string text;
+    std::string signature; // over signed_bytes()
+};
+
+// The bytes that the signature covers: all fields but the signature.
+std::string signed_bytes(configuration_change const& change);
+
+// The revision in force and the offset up to which its holder has read.
+struct configuration_snapshot
+{
+    revision in_force;
+    log_offset as_of = 0;
+    std::string author;
+    std::string text; // canonical
+};
+
+// Payloads of the configuration stream.
+std::string encode(configuration_change const& change);
+std::string encode(configuration_snapshot const& checkpoint);
+absl::StatusOr<configuration_change>
+decode_configuration_change(std::string_view bytes);
+absl::StatusOr<configuration_snapshot>
+decode_configuration_snapshot(std::string_view bytes);
+
+// Whether `signature` is `author`'s over `bytes`. A plain function, so that the
+// decisions need no cryptographic library.
+using verify_signature = bool (*)(std::string_view author,
+                                  std::string_view bytes,
+                                  std::string_view signature);
+
+enum class change_fate : std::uint8_t
+{
+    accepted,
+    superseded, // another revision was in force at its position
+    not_signed,
+    invalid,
+};
+
+inline constexpr name_table<change_fate, 4> change_fate_names{{
+    {change_fate::accepted, "accepted"},
+    {change_fate::superseded, "superseded"},
+    {change_fate::not_signed, "not_signed"},
+    {change_fate::invalid, "invalid"},
+}};
+
+// What the reader's rule said about one change record.
+struct change_decision
+{
+    std::string publish_id;
+    revision position; // of the record
+    change_fate fate = change_fate::invalid;
+    std::string author;
+    std::string reason;               // empty if accepted
+    revision in_force;                // after the record
+    std::string changed_by;           // author of the revision in force
+    std::vector<std::string> changed; // sections changed since the base, if
+                                      // superseded and still remembered
+};
+
+struct configuration_store_options
+{
+    std::string vm;
+    verify_signature verify = nullptr; // none: every signature is refused
+    duration retention = std::chrono::hours(24);
+    std::size_t text_bytes = 900 * 1024; // limit of the whole configuration
+    std::size_t remembered_decisions = 128;
+    std::size_t pending_bytes = 4 * 1024 * 1024;
+};
+
+struct configuration_readiness
+{
+    bool ready = false;
+    std::string reason; // why it waits
+};
+
+class configuration_store
+{
+public:
+    explicit configuration_store(configuration_store_options options);
+
+    // Applies records of the configuration stream; returns what was decided.
+    std::vector<change_decision> apply(time_point now, log_batch const& batch);
+
+    // Takes a peer's snapshot. FailedPrecondition if it is older than what is
+    // known or changes after it may be missing. After success the reader is to
+    // go on at next_offset().
+    absl::Status adopt(time_point now, configuration_snapshot const& from_peer);
+
+    // The revision that this VM has heard of from peers: it is not ready
+    // before it knows that one.
+    void heard_of(revision newest);
+
+    void set_log_reachable(time_point now, bool reachable);
+
+    // The payload of a checkpoint to append, if one is due.
+    std::optional<std::string> tick(time_point now);
+
+    // Ready when the revision in force is known: read up to the log's end, or,
+    // while the log is out, as new as any peer's.
+    configuration_readiness readiness() const;
+
+    bool known() const
+    {
+        return known_;
+    }
+    revision in_force() const
+    {
+        return in_force_;
+    }
+    std::string const& author() const
+    {
+        return author_;
+    }
+    // Never null; shared so that a reader may keep it while a new one comes.
+    std::shared_ptr<configuration const> const& tables() const
+    {
+        return tables_;
+    }
+    section_table const& sections() const
+    {
+        return sections_;
+    }
+    configuration_snapshot snapshot() const;
+    log_offset next_offset() const
+    {
+        return next_;
+    }
+    // The decision on a publish, if it is among the remembered.
+    std::optional<change_decision> decision(std::string_view publish_id) const;
+
+private:
+    struct pending_change
+    {
+        revision position;
+        configuration_change change;
+    };
+    struct applied_change
+    {
+        revision position;
+        std::vector<std::string> sections;
+    };
+
+    void apply_record(time_point now, log_record const& record,
+                      std::vector<change_decision>& decisions);
+    change_decision decide(time_point now, revision position,
+                           configuration_change const& change);
+    change_decision decide_on_content(time_point now, change_decision decision,
+                                      configuration_change const& change);
+    void take_checkpoint(time_point now, configuration_snapshot const& from,
+                         std::vector<change_decision>& decisions);
+    bool replace_state(time_point now, configuration_snapshot const& from);
+    void keep_pending(revision position, configuration_change change);
+    void remember(change_decision const& decision);
+    std::vector<std::string> changed_since(revision base) const;
+    bool holds_everything_after(log_offset as_of) const;
+
+    configuration_store_options options_;
+    // known_: in_force_, author_, sections_ and tables_ are the state after
+    // every record before next_.
+    bool known_ = false;
+    revision in_force_;
+    std::string author_;
+    section_table sections_;
+    std::shared_ptr<configuration const> tables_;
+    log_offset start_ = 0; // every record from start_ to next_ was seen
+    log_offset next_ = 1;
+    log_offset end_ = 0; // of the log, when last asked; 0: not yet asked
+    revision heard_;
+    bool log_reachable_ = true;
+    bool lost_copy_ = false;              // no copy of in_force_ is retained
+    time_point copied_at_{};              // when its newest copy was read
+    std::vector<pending_change> pending_; // empty if known_
+    std::size_t pending_bytes_ = 0;
+    std::deque<change_decision> decisions_;
+    std::deque<applied_change> applied_;
+};
+
+} // namespace amarantharch
+
+#endif
--- /dev/null
+++ b/src/core/gossip.hpp
@@ -0,0 +1,218 @@
+// Soft state: typed facts that VMs spread among themselves by gossip.
+//
+// A row is {kind, subject, origin, version, value}. It may be stale and never
+// grants anything. The table soft_kinds says for each kind how two rows of one
+// key merge (newest version, or largest value), whether the key holds the
+// origin, whether the row is urgent, and when it is forgotten. Merges are
+// commutative, associative and idempotent, so the order, loss and repetition
+// of messages do not matter; rows of merge_rule::maximum never go back.
+//
+// Each row learnt is sent on for a number of messages that grows with the
+// logarithm of the fleet; then it only takes part in repair, which walks the
+// whole table slowly. A version is the time of writing in microseconds, so that
+// all VMs forget a row at about the same time.
+// Cost: O(log rows) for each row received; a message is filled in O(hot rows).
+#ifndef AMARANTHARCH_CORE_GOSSIP_HPP
+#define AMARANTHARCH_CORE_GOSSIP_HPP
+
+#include "core/name_table.hpp"
+#include "core/time.hpp"
+
+#include <array>
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace amarantharch
+{
+
+// Values are part of the protocol: append only, never renumber.
+enum class soft_kind : std::uint8_t
+{
+    configuration_revision = 1, // subject "": newest revision known to exist
+    upstream_leaving = 2,       // subject upstream: its newest leaving start
+    upstream_health = 3,        // subject upstream: 0 unfit to 100 healthy
+    upstream_load = 4,          // subject upstream: requests in flight
+    version_taken_back = 5,     // subject move: 1 once taken back
+    quarantine = 6,             // subject fingerprint: crashes seen
+    organisation_usage = 7,     // subject organisation: tokens, a running sum
+    version_requests = 8,       // subject version: requests, a running sum
+    version_failures = 9,       // subject version: failures, a running sum
+};
+
+enum class merge_rule : std::uint8_t
+{
+    newest,  // the row with the larger version; of equal ones, larger value
+    maximum, // the larger value, the larger version
+};
+
+// Whether VMs write rows of one key together or each their own.
+enum class soft_scope : std::uint8_t
+{
+    fleet,  // one row for each (kind, subject)
+    origin, // one row for each (kind, subject, origin)
+};
+
+struct soft_kind_rule
+{
+    soft_kind value;
+    std::string_view name;
+    merge_rule merge;
+    soft_scope scope;
+    bool urgent;
+    duration lifetime; // after the row's version
+};
+
+inline constexpr std::array<soft_kind_rule, 9> soft_kinds{{
+    {soft_kind::configuration_revision, "configuration_revision",
+     merge_rule::maximum, soft_scope::fleet, true, std::chrono::hours(48)},
+    {soft_kind::upstream_leaving, "upstream_leaving", merge_rule::maximum,
+     soft_scope::fleet, true, std::chrono::hours(2)},
+    {soft_kind::upstream_health, "upstream_health", merge_rule::newest,
+     soft_scope::origin, false, std::chrono::minutes(5)},
+    {soft_kind::upstream_load, "upstream_load", merge_rule::newest,
+     soft_scope::origin, false, std::chrono::minutes(1)},
+    {soft_kind::version_taken_back, "version_taken_back", merge_rule::maximum,
+     soft_scope::fleet, true, std::chrono::hours(168)},
+    {soft_kind::quarantine, "quarantine", merge_rule::maximum,
+     soft_scope::fleet, true, std::chrono::hours(24)},
+    {soft_kind::organisation_usage, "organisation_usage", merge_rule::newest,
+     soft_scope::origin, false, std::chrono::minutes(5)},
+    {soft_kind::version_requests, "version_requests", merge_rule::newest,
+     soft_scope::origin, false, std::chrono::hours(1)},
+    {soft_kind::version_failures, "version_failures", merge_rule::newest,
+     soft_scope::origin, false, std::chrono::hours(1)},
+}};
+
+// The rule of `kind`, or null for a kind that a newer release has added.
+soft_kind_rule const* rule_of(soft_kind kind);
+
+struct soft_key
+{
+    soft_kind kind = soft_kind::upstream_health;
+    std::string subject;
+    std::string origin; // empty for soft_scope::fleet
+    auto operator<=>(soft_key const&) const = default;
+};
+
+struct soft_row
+{
+    soft_key key;
+    std::int64_t version = 0; // microseconds since the epoch
+    std::int64_t value = 0;
+};
+
+struct soft_state_options
+{
+    std::string vm; // the origin of rows set here
+    std::size_t max_rows = 50000;
+};
+
+class soft_state
+{
+public:
+    explicit soft_state(soft_state_options options);
+
+    // Writes a row of this VM. The version is `now`, or one more than that of
+    // the row before if the clock has not moved. Returns false if the table is
+    // full or the row changes nothing.
+    bool set(time_point now, soft_kind kind, std::string subject,
+             std::int64_t value);
+
+    // Merges a row from a peer; true if it changed anything. Rows of unknown
+    // kind, expired, from the future by more than a minute, or beyond max_rows
+    // are dropped. It is passed on to peers if it was news.
+    bool merge(time_point now, soft_row const& row);
+
+    // The value of a fleet row, or of `origin`'s row.
+    std::optional<std::int64_t> value(soft_kind kind, std::string_view subject,
+                                      std::string_view origin = {}) const;
+
+    // Calls `visit(soft_row)` for each row of `kind` about `subject`.
+    template <typename Visitor>
+    void visit(soft_kind kind, std::string_view subject,
+               Visitor&& visitor) const
+    {
+        soft_key const from{kind, std::string(subject), {}};
+        for (auto it = rows_.lower_bound(from); it != rows_.end(); ++it)
+        {
+            if (it->first.kind != kind || it->first.subject != subject)
+            {
+                return;
+            }
+            visitor(soft_row{it->first, it->second.version, it->second.value});
+        }
+    }
+
+    // The sum over all origins: the fleet's counter as known here.
+    std::int64_t sum(soft_kind kind, std::string_view subject) const;
+
+    // Forgets what `origin` wrote about itself: it has gone.
+    void forget_origin(std::string_view origin);
+
+    // Forgets rows past their lifetime; walks a bounded part each call.
+    void expire(time_point now);
+
+    // Rows to send, urgent and least sent first, of at most `bytes` encoded.
+    // Each is sent `transmissions` times in all and then no longer hot.
+    std::vector<soft_row> take_hot(std::size_t bytes, int transmissions,
+                                   bool urgent_only);
+
+    // The next rows of the slow walk over the whole table.
+    std::vector<soft_row> take_repair(std::size_t bytes);
+
+    bool has_urgent() const
+    {
+        return hot_urgent_ > 0;
+    }
+    std::size_t size() const
+    {
+        return rows_.size();
+    }
+    std::uint64_t refused_rows() const
+    {
+        return refused_rows_;
+    }
+
+private:
+    struct stored
+    {
+        std::int64_t version = 0;
+        std::int64_t value = 0;
+        int sent = -1; // -1: not hot; else the number of messages it was in
+    };
+    using row_map = std::map<soft_key, stored, std::less<>>;
+    struct hot_key
+    {
+        bool calm; // urgent rows sort first
+        int sent;
+        soft_key key;
+        auto operator<=>(hot_key const&) const = default;
+    };
+
+    bool store(soft_key const& key, std::int64_t version, std::int64_t value);
+    void heat(soft_key const& key, stored& row);
+    void cool(soft_key const& key, stored& row);
+    row_map::iterator erase(row_map::iterator it);
+
+    soft_state_options options_;
+    row_map rows_;
+    std::set<hot_key> hot_; // exactly the rows with sent >= 0
+    std::size_t hot_urgent_ = 0;
+    soft_key repair_cursor_;
+    soft_key expiry_cursor_;
+    std::uint64_t refused_rows_ = 0;
+};
+
+// Upper bound of a row's encoded size in bytes.
+std::size_t encoded_size(soft_row const& row);
+
+} // namespace amarantharch
+
+#endif
--- a/src/core/log.hpp
+++ b/src/core/log.hpp
@@ -56,6 +56,8 @@
     log_position position;
     record_id id;
     std::string payload;
+    // An earlier copy may lie before the offset where this reader began.
+    bool maybe_repeated = false;
 };
 
 // What one read returned.
--- /dev/null
+++ b/src/core/log_client.hpp
@@ -0,0 +1,293 @@
+// Client of the platform's log: batches appends, settles lost answers, reads.
+//
+// Appends. Records of one stream are gathered for a linger time or up to a
+// byte limit into one batch, and one batch a stream is outstanding at a time,
+// so that a writer's records keep their order. A batch names the end of the
+// stream that its writer had read (`base`). Readers count a batch only within
+// `batch_window` offsets after its base, and only its first copy there.
+// An append whose answer was lost is therefore settled by reading alone: the
+// batch is either seen, or void once the stream has passed base + window. Until
+// then the same bytes are sent again, which is harmless, because every reader
+// remembers the batch ids of the last `batch_window` offsets: that memory is
+// bounded, and the decision depends on the stream only, not on who reads it.
+//
+// A reader that starts in the middle of a stream cannot know the copies before
+// its start. It marks records whose base lies before its start as
+// `maybe_repeated`; all later ones are decided as by a reader of everything.
+//
+// The transport is the caller's: outputs say what to send, results say what
+// became of it. Cost: O(1) for each record and offset.
+#ifndef AMARANTHARCH_CORE_LOG_CLIENT_HPP
+#define AMARANTHARCH_CORE_LOG_CLIENT_HPP
+
+#include "core/event.hpp"
+#include "core/log.hpp"
+#include "core/time.hpp"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/status/status.h>
+#include <absl/status/statusor.h>
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <optional>
+#include <random>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace amarantharch
+{
+
+// How far behind the end of the stream the base of a valid batch may lie.
+inline constexpr log_offset batch_window = 16384;
+
+// The content of one append.
+struct log_payload
+{
+    log_offset base = 0; // newest offset the writer had read when writing
+    record_id first;     // id of records[0]; the following ids count upwards
+    std::vector<std::string> records;
+};
+
+std::string encode(log_payload const& payload);
+absl::StatusOr<log_payload> decode_log_payload(std::string_view bytes);
+
+// Names one transport operation, so that its result finds its way back.
+using log_token = std::uint64_t;
+
+// To do: POST `bytes` as one record to `stream`.
+struct send_append
+{
+    log_token token;
+    log_stream stream;
+    std::string bytes;
+};
+
+// To do: read `stream` from `from`, waiting up to `wait` for a new record.
+struct send_read
+{
+    log_token token;
+    log_stream stream;
+    log_offset from;
+    duration wait;
+};
+
+// What the client orders its transport, and what it tells its node.
+using log_client_output =
+    std::variant<send_append, send_read, log_read, log_reachability>;
+using log_client_sink = std::function<void(log_client_output)>;
+
+struct append_stored
+{
+    log_token token;
+    log_offset offset;
+};
+
+// No byte reached the log: the connection was refused.
+struct append_not_sent
+{
+    log_token token;
+};
+
+// The connection failed after the request was written.
+struct append_unknown
+{
+    log_token token;
+};
+
+// The log declined (429 or 503); zero `retry_after` if it named no time.
+struct append_refused
+{
+    log_token token;
+    duration retry_after;
+};
+
+struct stored_payload
+{
+    log_offset offset;
+    std::string bytes;
+};
+
+struct read_done
+{
+    log_token token;
+    log_offset first_retained;
+    log_offset end; // one past the newest offset
+    std::vector<stored_payload> payloads;
+};
+
+struct read_failed
+{
+    log_token token;
+    duration retry_after;
+};
+
+using log_result = std::variant<append_stored, append_not_sent, append_unknown,
+                                append_refused, read_done, read_failed>;
+
+struct log_client_options
+{
+    std::string vm;
+    std::uint64_t incarnation = 0; // must grow with each start of this VM
+    std::uint64_t seed = 0;        // of the backoff's jitter
+    duration linger = std::chrono::milliseconds(5);
+    std::size_t batch_bytes = 256 * 1024;
+    std::size_t queue_bytes = 4 * 1024 * 1024; // of all streams together
+    duration read_wait = std::chrono::seconds(20);
+    duration backoff_min = std::chrono::milliseconds(50);
+    duration backoff_max = std::chrono::seconds(5);
+    double appends_per_second = 40; // this VM's share of the log's rate
+    double append_burst = 20;
+};
+
+// This VM's share of the log's rate when `writers` VMs append to it.
+double append_share(double log_appends_per_second, std::size_t writers);
+
+enum class read_mode : std::uint8_t
+{
+    long_poll, // always one waiting read outstanding
+    on_hint,   // reads only when hint() names a newer offset
+};
+
+class log_client
+{
+public:
+    explicit log_client(log_client_options options);
+
+    // Begins to read `stream` at `from` (1 reads all that is retained). Called
+    // again, it moves the reader, as after a snapshot. `base` and duplicates
+    // before `from` are unknown to it.
+    void subscribe(log_stream stream, log_offset from,
+                   read_mode mode = read_mode::long_poll);
+
+    void set_read_mode(log_stream stream, read_mode mode);
+
+    // A peer has seen the record at `newest`: read up to it, within `spread`.
+    void hint(time_point now, log_stream stream, log_offset newest,
+              duration spread);
+
+    // Queues a record. ResourceExhausted, without effect, if the queue is
+    // full; InvalidArgument if it is larger than a batch; FailedPrecondition
+    // if the stream is not subscribed, since its fate could not be read.
+    absl::StatusOr<record_id> append(time_point now, log_stream stream,
+                                     std::string payload);
+
+    // Takes a result of the transport. Results of unknown tokens are ignored.
+    void handle(time_point now, log_result const& result,
+                log_client_sink const& emit);
+
+    // Sends what is due: call at least every 10 ms.
+    void tick(time_point now, log_client_sink const& emit);
+
+    void set_appends_per_second(double rate);
+
+    // False from the first failed operation until the next that succeeds.
+    bool reachable() const
+    {
+        return reachable_;
+    }
+    // True once all that was stored when the reader last asked has been read.
+    bool caught_up(log_stream stream) const;
+    // The next offset to be read.
+    log_offset position(log_stream stream) const;
+    // Bytes queued and not yet known to be stored.
+    std::size_t queued_bytes() const
+    {
+        return queued_bytes_;
+    }
+    // Batch ids remembered over all streams.
+    std::size_t remembered_batches() const;
+
+private:
+    struct batch
+    {
+        log_payload payload;
+        std::size_t bytes = 0;
+    };
+    struct queued_record
+    {
+        time_point since;
+        std::string payload;
+    };
+    enum class batch_state : std::uint8_t
+    {
+        none,
+        waiting, // to be sent at `append_due`
+        sent,    // its answer is awaited
+        stored,  // stored for sure or perhaps; to be seen by reading
+    };
+    struct stream_row
+    {
+        bool subscribed = false;
+        read_mode mode = read_mode::long_poll;
+        log_offset start = 1; // where this reader began
+        log_offset next = 1;
+        log_offset end = 1;
+        log_offset hinted = 0;
+        bool answered = false;
+        std::optional<log_token> read;
+        time_point read_due{};
+        // seen_ids: the ids of the batches at `seen`, which are at most
+        // batch_window offsets before `next`.
+        std::deque<std::pair<log_offset, record_id>> seen;
+        absl::flat_hash_map<std::string, log_offset> seen_ids;
+        std::deque<queued_record> queue;
+        batch current;
+        batch_state state = batch_state::none;
+        std::optional<log_token> append;
+        time_point append_due{};
+        std::optional<log_offset> stored_at;
+        int failures = 0;
+        int read_failures = 0;
+    };
+
+    void on(time_point now, append_stored const& result,
+            log_client_sink const& emit);
+    void on(time_point now, append_not_sent const& result,
+            log_client_sink const& emit);
+    void on(time_point now, append_unknown const& result,
+            log_client_sink const& emit);
+    void on(time_point now, append_refused const& result,
+            log_client_sink const& emit);
+    void on(time_point now, read_done const& result,
+            log_client_sink const& emit);
+    void on(time_point now, read_failed const& result,
+            log_client_sink const& emit);
+
+    stream_row* row_of_append(log_token token);
+    stream_row* row_of_read(log_token token);
+    void set_reachable(bool reachable, log_client_sink const& emit);
+    duration backoff(int failures);
+    bool take_budget(time_point now);
+    void fill_batch(time_point now, stream_row& row);
+    void restamp_if_void(stream_row& row);
+    void settle(stream_row& row, record_id const& id);
+    void retry_append(time_point now, stream_row& row, duration at_least);
+    void send_due_append(time_point now, log_stream stream, stream_row& row,
+                         log_client_sink const& emit);
+    void send_due_read(time_point now, log_stream stream, stream_row& row,
+                       log_client_sink const& emit);
+    void skip_gap(stream_row& row, log_offset first_retained);
+    void read_payload(stream_row& row, stored_payload const& stored,
+                      std::vector<log_record>& records);
+    bool remember(stream_row& row, log_offset offset, record_id const& id);
+
+    log_client_options options_;
+    std::mt19937_64 random_;
+    std::array<stream_row, log_stream_names.size()> rows_;
+    log_token next_token_ = 1;
+    std::uint64_t next_sequence_ = 1;
+    std::size_t queued_bytes_ = 0;
+    bool reachable_ = true;
+    double budget_ = 0;
+    std::optional<time_point> budget_since_;
+};
+
+} // namespace amarantharch
+
+#endif
