--- a/src/core/log_client.hpp
+++ b/src/core/log_client.hpp
@@ -16,7 +16,9 @@
 // `maybe_repeated`; all later ones are decided as by a reader of everything.
 //
 // The transport is the caller's: outputs say what to send, results say what
-// became of it. Cost: O(1) for each record and offset.
+// became of it. It owes exactly one result for each token, also after its own
+// timeout; results may come in any order. Cost: O(1) for each record and
+// offset.
 #ifndef AMARANTHARCH_CORE_LOG_CLIENT_HPP
 #define AMARANTHARCH_CORE_LOG_CLIENT_HPP
 
@@ -24,7 +26,7 @@
 #include "core/log.hpp"
 #include "core/time.hpp"
 
-#include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
 #include <absl/status/status.h>
 #include <absl/status/statusor.h>
 
@@ -209,6 +211,8 @@
         log_payload payload;
         std::size_t bytes = 0;
     };
+    // 128 bits of a hash of the batch's first record id.
+    using batch_digest = std::pair<std::uint64_t, std::uint64_t>;
     struct queued_record
     {
         time_point since;
@@ -232,11 +236,15 @@
         bool answered = false;
         std::optional<log_token> read;
         time_point read_due{};
-        // seen_ids: the ids of the batches at `seen`, which are at most
-        // batch_window offsets before `next`.
-        std::deque<std::pair<log_offset, record_id>> seen;
-        absl::flat_hash_map<std::string, log_offset> seen_ids;
+        // seen_ids: exactly the digests in `seen`, which are of batches at
+        // most batch_window offsets before the newest read.
+        std::deque<std::pair<log_offset, batch_digest>> seen;
+        absl::flat_hash_set<batch_digest> seen_ids;
+        // The records in `queue` have the ids first_queued to
+        // next_sequence - 1.
         std::deque<queued_record> queue;
+        std::uint64_t first_queued = 0;
+        std::uint64_t next_sequence = 0;
         batch current;
         batch_state state = batch_state::none;
         std::optional<log_token> append;
@@ -265,23 +273,24 @@
     duration backoff(int failures);
     bool take_budget(time_point now);
     void fill_batch(time_point now, stream_row& row);
-    void restamp_if_void(stream_row& row);
+    static void restamp_if_void(stream_row& row);
     void settle(stream_row& row, record_id const& id);
     void retry_append(time_point now, stream_row& row, duration at_least);
     void send_due_append(time_point now, log_stream stream, stream_row& row,
                          log_client_sink const& emit);
     void send_due_read(time_point now, log_stream stream, stream_row& row,
                        log_client_sink const& emit);
-    void skip_gap(stream_row& row, log_offset first_retained);
+    static void skip_gap(stream_row& row, log_offset first_retained);
     void read_payload(stream_row& row, stored_payload const& stored,
                       std::vector<log_record>& records);
-    bool remember(stream_row& row, log_offset offset, record_id const& id);
+    static batch_digest digest(record_id const& id);
+    static bool remember(stream_row& row, log_offset offset,
+                         record_id const& id);
 
     log_client_options options_;
     std::mt19937_64 random_;
     std::array<stream_row, log_stream_names.size()> rows_;
     log_token next_token_ = 1;
-    std::uint64_t next_sequence_ = 1;
     std::size_t queued_bytes_ = 0;
     bool reachable_ = true;
     double budget_ = 0;
