--- a/src/app/log.cpp
+++ b/src/app/log.cpp
@@ -1,6 +1,5 @@
 #include "app/log.hpp"
 
-#include "core/name_table.hpp"
 #include "core/time.hpp"
 
 #include <fmt/format.h>
@@ -13,15 +12,11 @@
 namespace
 {
 
-constexpr name_table<log_level, 4> log_level_names{{
-    {log_level::debug, "debug"},
-    {log_level::info, "info"},
-    {log_level::warning, "warning"},
-    {log_level::error, "error"},
-}};
-
 constexpr unsigned char first_printable = 0x20;
 
+// Set once at start, before anything else is logged.
+log_level least_logged = log_level::info;
+
 } // namespace
 
 std::string json_escape(std::string_view text)
@@ -46,9 +41,18 @@
     return escaped;
 }
 
+void set_log_level(log_level least)
+{
+    least_logged = least;
+}
+
 void log(log_level level, std::string_view event,
          std::initializer_list<log_field> fields)
 {
+    if (level < least_logged)
+    {
+        return;
+    }
     auto const now = std::chrono::time_point_cast<duration>(
         std::chrono::system_clock::now());
     std::string line =
--- a/src/app/log.hpp
+++ b/src/app/log.hpp
@@ -2,6 +2,8 @@
 #ifndef AMARANTHARCH_APP_LOG_HPP
 #define AMARANTHARCH_APP_LOG_HPP
 
+#include "core/name_table.hpp"
+
 #include <cstdint>
 #include <initializer_list>
 #include <string>
@@ -18,13 +20,25 @@
     error,
 };
 
+inline constexpr name_table<log_level, 4> log_level_names{{
+    {log_level::debug, "debug"},
+    {log_level::info, "info"},
+    {log_level::warning, "warning"},
+    {log_level::error, "error"},
+}};
+
 struct log_field
 {
     std::string_view key;
     std::string value;
 };
 
-// Writes one line: time, level, event name, then the fields in order.
+// Lines below `least` are not written from now on; at first info.
+void set_log_level(log_level least);
+
+// Writes one line: time, level, event name, then the fields in order. The
+// fields that lead from process to process have fixed names: "request" for
+// the request id, "vm" and "upstream" for who is meant.
 void log(log_level level, std::string_view event,
          std::initializer_list<log_field> fields);
 
--- a/src/app/server.cpp
+++ b/src/app/server.cpp
@@ -16,12 +16,22 @@
         std::chrono::system_clock::now());
 }
 
+std::vector<upstream_entry> entries(settings const& options)
+{
+    std::vector<upstream_entry> rows;
+    for (upstream_settings const& upstream : options.upstreams)
+    {
+        rows.push_back({upstream.name, upstream.address});
+    }
+    return rows;
+}
+
 } // namespace
 
 server::server(settings options)
     : options_(std::move(options)),
       node_(node_options{options_.vm, options_.failure_domain,
-                         options_.upstreams}),
+                         entries(options_)}),
       callers_({}, {[this](exchange_id e, call c) { receive(e, std::move(c)); },
                     [this](exchange_id e)
                     {
