Stand-ins for the log service and plain services, with faults set at run time

Each is a state machine over HTTP requests and time, tested without sockets; a front joins it to a port. http_server gains abort(), which closes a connection without the rest of an answer.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -33,6 +33,6 @@
     answer=$(curl -sS --max-time 10 -X POST --data "hello from $domain" \
         "http://127.0.0.1:$port/listings")
     echo "$domain: $answer"
-    grep -q "piece 2" <<< "$answer" && grep -q "hello from $domain" <<< "$answer"
+    grep -q "\"echo\":\"hello from $domain\"" <<< "$answer"
 done
 echo "demo: 3 VMs answered whole through one upstream"
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -312,6 +312,17 @@
     impl_->answer(exchange, status, headers, body);
 }
 
+void http_server::abort(exchange_id exchange)
+{
+    if (connection* const row = impl_->owner(exchange))
+    {
+        impl_->exchanges_.erase(exchange);
+        row->exchange = 0;
+        row->closing = true;
+        row->socket->disconnectFromHost();
+    }
+}
+
 void http_server::refuse(exchange_id exchange, request_id const& request,
                          refusal const& why)
 {
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -65,6 +65,10 @@
     void refuse(exchange_id exchange, request_id const& request,
                 refusal const& why);
 
+    // Closes the connection without the rest of the answer; no handler is
+    // called for the exchange again.
+    void abort(exchange_id exchange);
+
 private:
     class impl;
     std::unique_ptr<impl> impl_;
--- a/src/standin/main.cpp
+++ b/src/standin/main.cpp
@@ -1,35 +1,97 @@
-// A small stand-in for an upstream: streams a few pieces for any request.
-#include "net/http_server.hpp"
+// amarantharch-standin: small stand-ins for the platform and the upstreams.
+//
+// Each --serve ROLE[=PORT] adds a role on a port of its own. For each, one
+// JSON line {"event":"listening","role":R,"port":"P"} goes to standard error.
+// Without --serve it is one plain service on a free port.
+#include "standin/roles.hpp"
 
 #include <QCoreApplication>
 
+#include <boost/program_options.hpp>
+
 #include <fmt/format.h>
 
-#include <memory>
+#include <iostream>
+
+namespace
+{
+
+namespace options = boost::program_options;
+using namespace amarantharch;
+
+constexpr int exit_fault = 1;
+constexpr int exit_usage = 2;
+
+options::options_description describe(standin_options& chosen)
+{
+    options::options_description known(
+        "amarantharch-standin [--serve ROLE[=PORT]]...\nRoles: " +
+        role_names());
+    auto add = known.add_options();
+    (void)add("help", "print this text");
+    (void)add("serve", options::value(&chosen.serve)->composing(),
+              "a role to serve; may be repeated");
+    (void)add("address",
+              options::value(&chosen.address)->default_value("127.0.0.1"),
+              "IP address to listen on");
+    (void)add("service",
+              options::value(&chosen.service)->default_value("plain"),
+              "name of the plain service");
+    (void)add("upstream-version",
+              options::value(&chosen.version)->default_value("1"),
+              "version of the plain service and the engine");
+    (void)add("run-ms", options::value(&chosen.run_ms)->default_value(0),
+              "time that each plain request takes (ms)");
+    (void)add("appends-per-second",
+              options::value(&chosen.appends_per_second)->default_value(500),
+              "append rate of the log");
+    (void)add("retention-ms",
+              options::value(&chosen.retention_ms)->default_value(86'400'000),
+              "retention of the log (ms)");
+    (void)add("lag-ms", options::value(&chosen.lag_ms)->default_value(500),
+              "lag of the VM list and of the engine's reports (ms)");
+    (void)add("fence", options::value(&chosen.fence)->default_value(true),
+              "whether the engine checks the fencing number of orders");
+    (void)add("cache-blocks",
+              options::value(&chosen.cache_blocks)->default_value(4096),
+              "prefix cache of the engine (blocks)");
+    return known;
+}
+
+int run(QCoreApplication& application, standin_options const& chosen)
+{
+    auto const fronts = serve_roles(chosen);
+    if (!fronts.ok())
+    {
+        fmt::print(stderr, "{}\n", fronts.status().message().data());
+        return exit_fault;
+    }
+    return application.exec();
+}
+
+} // namespace
 
 int main(int argc, char** argv)
 {
-    using namespace amarantharch;
     QCoreApplication application(argc, argv);
-    std::unique_ptr<http_server> server;
-    auto const answer = [&](exchange_id exchange, call const& request)
+    standin_options chosen;
+    options::options_description const known = describe(chosen);
+    try
     {
-        server->answer_head(exchange, 200, {{"Content-Type", "text/plain"}});
-        for (int i = 0; i < 3; ++i)
+        options::variables_map given;
+        options::store(options::parse_command_line(argc, argv, known), given);
+        options::notify(given);
+        if (given.contains("help"))
         {
-            server->answer_piece(exchange, fmt::format("piece {}\n", i));
+            std::cout << known;
+            return 0;
         }
-        server->answer_piece(exchange, request.body);
-        server->answer_end(exchange);
-    };
-    server = std::make_unique<http_server>(
-        http_server_limits{}, http_server_handlers{answer, [](exchange_id) {
-                                                   }});
-    if (!server->listen(QHostAddress::LocalHost, 0).ok())
+    }
+    catch (options::error const& error)
     {
-        return 1;
+        fmt::print(stderr, "{}\n", error.what());
+        std::cerr << known;
+        return exit_usage;
     }
-    fmt::print(stderr, "{{\"event\":\"listening\",\"port\":\"{}\"}}\n",
-               server->port());
-    return QCoreApplication::exec();
+    return run(application, chosen);
 }
