--- a/src/core/call.hpp
+++ b/src/core/call.hpp
@@ -32,6 +32,9 @@
     std::string target; // path and query
     header_list headers;
     std::string body;
+    // Hexadecimal SHA-256 of the bearer token, or empty; the token itself
+    // goes no further than the socket.
+    std::string credential_digest = {};
 };
 
 // Why a request ended without an upstream's answer, and what the caller may
--- a/src/core/command.hpp
+++ b/src/core/command.hpp
@@ -3,6 +3,7 @@
 #define AMARANTHARCH_CORE_COMMAND_HPP
 
 #include "core/event.hpp"
+#include "core/log_client.hpp"
 
 #include <functional>
 #include <string>
@@ -48,14 +49,6 @@
     refusal why;
 };
 
-// Append one payload to a stream of the platform's log. Its fate is learnt by
-// reading the stream.
-struct append_to_log
-{
-    log_stream stream;
-    std::string payload;
-};
-
 struct send_to_peer
 {
     peer_message message;
@@ -69,9 +62,10 @@
     std::string details; // "key=value" pairs separated by spaces
 };
 
-using command = std::variant<start_attempt, cancel_attempt, answer_head,
-                             answer_piece, answer_end, answer_refusal,
-                             append_to_log, send_to_peer, record_timeline>;
+using command =
+    std::variant<start_attempt, cancel_attempt, answer_head, answer_piece,
+                 answer_end, answer_refusal, send_append, send_read,
+                 send_to_peer, record_timeline>;
 
 using command_sink = std::function<void(command)>;
 
--- a/src/core/event.hpp
+++ b/src/core/event.hpp
@@ -3,12 +3,15 @@
 #define AMARANTHARCH_CORE_EVENT_HPP
 
 #include "core/call.hpp"
-#include "core/log.hpp"
+#include "core/log_client.hpp"
+#include "core/membership.hpp"
 #include "core/peer_message.hpp"
+#include "core/upstream_table.hpp"
 
 #include <cstdint>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace amarantharch
 {
@@ -64,6 +67,25 @@
     peer_message message;
 };
 
+// The platform's list of entry VMs; it lags.
+struct members_listed
+{
+    std::vector<listed_member> members;
+};
+
+// An upstream reported its load.
+struct upstream_reported
+{
+    std::string upstream;
+    upstream_report report;
+};
+
+// A sign, from any source, that an upstream is about to go.
+struct upstream_leaving_seen
+{
+    std::string upstream;
+};
+
 // This VM is to stop by `deadline`: reclaim notice, SIGTERM or drain command.
 struct stop_requested
 {
@@ -72,8 +94,9 @@
 
 using event =
     std::variant<call_received, call_abandoned, upstream_head, upstream_piece,
-                 upstream_end, upstream_failed, ticked, log_read,
-                 log_reachability, peer_message_received, stop_requested>;
+                 upstream_end, upstream_failed, ticked, log_result,
+                 peer_message_received, members_listed, upstream_reported,
+                 upstream_leaving_seen, stop_requested>;
 
 } // namespace amarantharch
 
--- a/src/core/log_client.cpp
+++ b/src/core/log_client.cpp
@@ -368,9 +368,11 @@
     bool const maybe_repeated = payload->base + 1 < row.start;
     for (auto& bytes : payload->records)
     {
-        records.push_back(log_record{
-            {stored.offset, index}, id, std::move(bytes), stored.time,
-            maybe_repeated});
+        records.push_back(log_record{{stored.offset, index},
+                                     id,
+                                     std::move(bytes),
+                                     stored.time,
+                                     maybe_repeated});
         ++index;
         ++id.sequence;
     }
--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -5,94 +5,100 @@
 namespace amarantharch
 {
 
-namespace
+node::node(node_options options, command_sink emit)
+    : options_(std::move(options)),
+      control_(options_.control, emit, control_handlers()),
+      requests_(options_.requests, emit,
+                [this](std::string payload)
+                { append_request_record(std::move(payload)); })
 {
+    requests_.set_site(std::make_shared<site>(options_.settings_site));
+    requests_.requests_ledger().set_reachable({}, options_.control.uses_log);
+}
 
-constexpr duration no_upstream_retry_after = std::chrono::seconds(1);
+control_plane_handlers node::control_handlers()
+{
+    control_plane_handlers handlers;
+    handlers.requests_read = [this](time_point now, log_batch const& batch)
+    {
+        requests_.apply(now, batch);
+    };
+    handlers.log_reachable = [this](time_point now, bool reachable)
+    {
+        requests_.set_log_reachable(now, reachable);
+    };
+    handlers.configured = [this](time_point, configuration const& tables)
+    {
+        requests_.set_site(std::make_shared<site>(site_of(tables)));
+    };
+    handlers.member_changed = [this](time_point now, member_change const& what)
+    {
+        if (what.after == member_state::gone)
+        {
+            requests_.vm_gone(now, what.vm);
+        }
+    };
+    return handlers;
+}
 
-} // namespace
+// A record that does not fit the queue is lost; the ledger gives it again.
+void node::append_request_record(std::string payload)
+{
+    control_.append(present_, log_stream::requests, std::move(payload))
+        .IgnoreError();
+}
 
-node::node(node_options options) : options_(std::move(options)) {}
+void node::handle(time_point now, event const& what)
+{
+    present_ = now;
+    std::visit([&](auto const& e) { on(now, e); }, what);
+}
 
-void node::handle(time_point now, event const& what, command_sink const& emit)
+void node::on(time_point now, ticked const&)
 {
-    std::visit([&](auto const& e) { on(now, e, emit); }, what);
+    control_.tick(now);
+    requests_.tick(now);
 }
 
-void node::on(time_point, call_received const& what, command_sink const& emit)
+void node::on(time_point now, log_result const& what)
 {
-    if (options_.upstreams.empty())
-    {
-        emit(answer_refusal{
-            what.request.id,
-            {503, verdict::not_run, "no_upstream", no_upstream_retry_after}});
-        return;
-    }
-    upstream_entry const& chosen =
-        options_.upstreams[next_upstream_++ % options_.upstreams.size()];
-    attempt_id const attempt = next_attempt_++;
-    requests_[what.request.id] = request_row{attempt};
-    attempts_[attempt] = what.request.id;
-    emit(start_attempt{attempt, chosen.name, chosen.address, what.request});
+    control_.handle(now, what);
 }
 
-void node::on(time_point, call_abandoned const& what, command_sink const& emit)
+void node::on(time_point now, peer_message_received const& what)
 {
-    auto const row = requests_.find(what.request);
-    if (row == requests_.end())
-    {
-        return;
-    }
-    emit(cancel_attempt{row->second.attempt});
-    attempts_.erase(row->second.attempt);
-    requests_.erase(row);
+    control_.handle(now, what.message);
 }
 
-void node::on(time_point, upstream_head const& what, command_sink const& emit)
+void node::on(time_point now, members_listed const& what)
 {
-    auto const found = attempts_.find(what.attempt);
-    if (found == attempts_.end())
-    {
-        return;
-    }
-    requests_[found->second].answer_started = true;
-    emit(answer_head{found->second, what.status, what.headers});
+    control_.apply_vm_list(now, what.members);
 }
 
-void node::on(time_point, upstream_piece const& what, command_sink const& emit)
+void node::on(time_point, upstream_reported const& what)
 {
-    auto const found = attempts_.find(what.attempt);
-    if (found != attempts_.end())
-    {
-        emit(answer_piece{found->second, what.bytes});
-    }
+    requests_.upstream_reported(what.upstream, what.report);
 }
 
-void node::on(time_point, upstream_end const& what, command_sink const& emit)
+void node::on(time_point, upstream_leaving_seen const& what)
 {
-    auto const found = attempts_.find(what.attempt);
-    if (found == attempts_.end())
-    {
-        return;
-    }
-    request_id const request = found->second;
-    attempts_.erase(found);
-    requests_.erase(request);
-    emit(answer_end{request});
+    requests_.upstream_leaving(what.upstream);
+}
+
+void node::on(time_point now, stop_requested const& what)
+{
+    control_.leave();
+    requests_.handle(now, what);
 }
 
-void node::on(time_point, upstream_failed const& what, command_sink const& emit)
+node_readiness node::readiness() const
 {
-    auto const found = attempts_.find(what.attempt);
-    if (found == attempts_.end())
+    if (requests_.stopping())
     {
-        return;
+        return {false, "draining"};
     }
-    request_id const request = found->second;
-    attempts_.erase(found);
-    requests_.erase(request);
-    emit(answer_refusal{request,
-                        {502, what.run, what.reason, no_upstream_retry_after}});
+    configuration_readiness const configured = control_.readiness();
+    return {configured.ready, configured.reason};
 }
 
 } // namespace amarantharch
--- a/src/core/node.hpp
+++ b/src/core/node.hpp
@@ -5,80 +5,93 @@
 // threads or randomness of its own, so that a whole session can be replayed
 // from a text file and many nodes can be stepped in one process.
 //
-// Each request is in one row of the request table from call_received until
-// its final answer; each try at an upstream is one attempt with an id of its
-// own, so that a late piece of an abandoned attempt cannot reach a caller.
+//     node subject(options, [&](command const& c) { carry_out(c); });
+//     subject.handle(now, call_received{request});
+//     subject.handle(now, ticked{}); // every tick_interval
+//
+// It joins two parts: request_path (callers' requests) and control_plane (what
+// the VMs share). The control plane informs the path; the path never waits for
+// it except where the log decides whether a request may run.
 #ifndef AMARANTHARCH_CORE_NODE_HPP
 #define AMARANTHARCH_CORE_NODE_HPP
 
 #include "core/command.hpp"
+#include "core/control_plane.hpp"
 #include "core/event.hpp"
+#include "core/request_path.hpp"
+#include "core/site.hpp"
 #include "core/time.hpp"
 
-#include <map>
+#include <memory>
 #include <string>
-#include <vector>
 
 namespace amarantharch
 {
 
-struct upstream_entry
+// How often `ticked` is due.
+inline constexpr duration tick_interval = std::chrono::milliseconds(10);
+
+struct node_options
 {
-    std::string name;
-    std::string address; // ip:port
+    request_path_options requests;
+    control_plane_options control;
+    // In force until a configuration revision is known.
+    site settings_site;
 };
 
-struct node_options
+struct node_readiness
 {
-    std::string vm;
-    std::string failure_domain;
-    std::vector<upstream_entry> upstreams;
+    bool ready = false;
+    std::string reason; // why not; a stable word
 };
 
 class node
 {
 public:
-    explicit node(node_options options);
+    node(node_options options, command_sink emit);
 
     // Takes one event; emits the commands that follow from it.
-    void handle(time_point now, event const& what, command_sink const& emit);
+    void handle(time_point now, event const& what);
 
-    std::size_t requests_in_flight() const
+    // Starts to publish a configuration change; see control_plane.
+    publish_report publish(time_point now, configuration_change change)
     {
-        return requests_.size();
+        return control_.publish(now, std::move(change));
     }
 
-private:
-    struct request_row
+    // Whether callers should be sent here.
+    node_readiness readiness() const;
+
+    request_path const& requests() const
     {
-        attempt_id attempt;
-        bool answer_started = false;
-    };
-
-    void on(time_point now, call_received const& what,
-            command_sink const& emit);
-    void on(time_point now, call_abandoned const& what,
-            command_sink const& emit);
-    void on(time_point now, upstream_head const& what,
-            command_sink const& emit);
-    void on(time_point now, upstream_piece const& what,
-            command_sink const& emit);
-    void on(time_point now, upstream_end const& what, command_sink const& emit);
-    void on(time_point now, upstream_failed const& what,
-            command_sink const& emit);
-
-    // Events that this node does not act on.
-    template <typename Other>
-    void on(time_point, Other const&, command_sink const&)
+        return requests_;
+    }
+    control_plane const& control() const
+    {
+        return control_;
+    }
+
+private:
+    template <typename Event>
+    void on(time_point now, Event const& what)
     {
+        requests_.handle(now, what);
     }
+    void on(time_point now, ticked const& what);
+    void on(time_point now, log_result const& what);
+    void on(time_point now, peer_message_received const& what);
+    void on(time_point now, members_listed const& what);
+    void on(time_point now, upstream_reported const& what);
+    void on(time_point now, upstream_leaving_seen const& what);
+    void on(time_point now, stop_requested const& what);
+
+    control_plane_handlers control_handlers();
+    void append_request_record(std::string payload);
 
     node_options options_;
-    std::size_t next_upstream_ = 0;
-    attempt_id next_attempt_ = 1;
-    // requests_[r].attempt == a if and only if attempts_[a] == r.
-    std::map<request_id, request_row> requests_;
-    std::map<attempt_id, request_id> attempts_;
+    time_point present_; // of the event in hand
+    control_plane control_;
+    request_path requests_;
 };
 
 } // namespace amarantharch
--- a/src/core/request_path.cpp
+++ b/src/core/request_path.cpp
@@ -121,10 +121,11 @@
 
 } // namespace
 
-request_path::request_path(request_path_options options, command_sink emit)
+request_path::request_path(request_path_options options, command_sink emit,
+                           record_appender append)
     : options_(std::move(options)), emit_(std::move(emit)),
-      site_(std::make_shared<site>()), router_(options_.routing),
-      retries_(options_.retries),
+      append_(std::move(append)), site_(std::make_shared<site>()),
+      router_(options_.routing), retries_(options_.retries),
       ledger_(ledger_options_of(options_),
               [this](ledger_effect const& effect) { take(present_, effect); })
 {
@@ -209,7 +210,8 @@
 {
     present_ = now;
     call const& request = what.request;
-    auto const organisation = identify_organisation(*site_, request.headers);
+    auto const organisation =
+        identify_organisation(*site_, request.credential_digest);
     if (!organisation)
     {
         emit_(answer_refusal{
@@ -316,7 +318,7 @@
 {
     if (auto const* append = std::get_if<append_record>(&effect))
     {
-        emit_(append_to_log{log_stream::requests, append->payload});
+        append_(append->payload);
         return;
     }
     if (auto const* run = std::get_if<run_request>(&effect))
@@ -731,6 +733,34 @@
     }
 }
 
+void request_path::upstream_reported(std::string const& upstream,
+                                     upstream_report const& report)
+{
+    auto const index = upstreams_.find(upstream);
+    if (index)
+    {
+        router_.on_report(*index, report, upstreams_);
+    }
+}
+
+void request_path::apply(time_point now, log_batch const& batch)
+{
+    present_ = now;
+    ledger_.apply(now, batch);
+}
+
+void request_path::set_log_reachable(time_point now, bool reachable)
+{
+    present_ = now;
+    ledger_.set_reachable(now, reachable);
+}
+
+void request_path::vm_gone(time_point now, std::string const& vm)
+{
+    present_ = now;
+    ledger_.vm_gone(now, vm);
+}
+
 void request_path::tick(time_point now)
 {
     present_ = now;
--- a/src/core/request_path.hpp
+++ b/src/core/request_path.hpp
@@ -30,6 +30,7 @@
 #include "core/upstream_table.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -55,7 +56,12 @@
 class request_path
 {
 public:
-    request_path(request_path_options options, command_sink emit);
+    // `append` takes the ledger's records for the requests stream; it may
+    // lose any of them, the ledger gives them again.
+    using record_appender = std::function<void(std::string payload)>;
+
+    request_path(request_path_options options, command_sink emit,
+                 record_appender append);
 
     // Decides by `tables` from now on; requests in progress keep their route.
     void set_site(std::shared_ptr<site const> tables);
@@ -75,6 +81,15 @@
     // requests from now on.
     void upstream_leaving(std::string const& upstream);
 
+    // The load that an upstream reports of itself; unknown ones are ignored.
+    void upstream_reported(std::string const& upstream,
+                           upstream_report const& report);
+
+    // The next batch of the requests stream.
+    void apply(time_point now, log_batch const& batch);
+    void set_log_reachable(time_point now, bool reachable);
+    void vm_gone(time_point now, std::string const& vm);
+
     ledger& requests_ledger()
     {
         return ledger_;
@@ -180,6 +195,7 @@
 
     request_path_options options_;
     command_sink emit_;
+    record_appender append_;
     std::shared_ptr<site const> site_;
     std::map<std::string, admission> admissions_; // by service
     upstream_table upstreams_;
--- a/src/core/session_text.cpp
+++ b/src/core/session_text.cpp
@@ -290,9 +290,9 @@
     return ticked{};
 }
 
-absl::StatusOr<event> parse_log_reachable(text_line const& line)
+absl::StatusOr<event> parse_leaving(text_line const& line)
 {
-    return log_reachability{line.value("now") == "yes"};
+    return upstream_leaving_seen{line.value("upstream")};
 }
 
 absl::StatusOr<event> parse_stop(text_line const& line)
@@ -363,11 +363,16 @@
                            quoted(c.request), c.why.status, name(c.why.run),
                            quoted(c.why.reason), to_millis(c.why.retry_after));
     }
-    std::string operator()(append_to_log const& c) const
+    std::string operator()(send_append const& c) const
     {
-        return fmt::format("append stream={}",
+        return fmt::format("append token={} stream={}", c.token,
                            name_in(log_stream_names, c.stream));
     }
+    std::string operator()(send_read const& c) const
+    {
+        return fmt::format("read token={} stream={} from={}", c.token,
+                           name_in(log_stream_names, c.stream), c.from);
+    }
     std::string operator()(send_to_peer const& c) const
     {
         return fmt::format("send vm={} kind={}", quoted(c.message.vm),
--- a/src/core/session_text.hpp
+++ b/src/core/session_text.hpp
@@ -44,7 +44,7 @@
 std::string quoted(std::string_view value);
 
 // The event that a line states: call, abandoned, head, piece, end, failed,
-// tick, log_reachable, stop. Fails on other words and malformed numbers.
+// tick, leaving, stop. Fails on other words and malformed numbers.
 absl::StatusOr<event> parse_event(text_line const& line);
 
 // A command as a line without its newline. Payloads of the log and of peers
--- a/src/core/site.cpp
+++ b/src/core/site.cpp
@@ -1,5 +1,7 @@
 #include "core/site.hpp"
 
+#include "core/configuration.hpp"
+
 #include <absl/strings/match.h>
 
 namespace amarantharch
@@ -8,7 +10,7 @@
 namespace
 {
 
-constexpr std::string_view bearer_prefix = "Bearer ";
+constexpr std::uint32_t default_capacity = 16;
 
 absl::string_view absl_view(std::string_view text)
 {
@@ -32,6 +34,42 @@
     return difference == 0;
 }
 
+upstream_kind kind_of(service_kind kind)
+{
+    return kind == service_kind::engine ? upstream_kind::engine
+                                        : upstream_kind::plain;
+}
+
+route_spec route_of(configuration const& tables, route_row const& route)
+{
+    service_row const& service = tables.services[route.service];
+    route_spec result;
+    result.name = route.name;
+    result.prefix = route.path;
+    result.service = service.name;
+    result.kind = kind_of(service.kind);
+    result.idempotent = service.idempotent;
+    return result;
+}
+
+upstream_spec upstream_of(configuration const& tables,
+                          configured_upstream const& upstream)
+{
+    service_row const& service = tables.services[upstream.service];
+    upstream_spec result;
+    result.name = upstream.name;
+    result.address = upstream.address;
+    result.service = service.name;
+    result.kind = kind_of(service.kind);
+    result.version = upstream.version;
+    result.failure_domain = upstream.failure_domain;
+    result.price = upstream.price;
+    result.capacity = upstream.concurrency > 0
+                          ? static_cast<std::uint32_t>(upstream.concurrency)
+                          : default_capacity;
+    return result;
+}
+
 } // namespace
 
 route_spec const* match_route(site const& tables, std::string_view target)
@@ -61,23 +99,17 @@
     return {};
 }
 
-std::optional<std::string> identify_organisation(site const& tables,
-                                                 header_list const& headers)
+std::optional<std::string>
+identify_organisation(site const& tables, std::string_view credential_digest)
 {
     if (tables.organisations.empty())
     {
         return "";
     }
-    std::string_view token = header_value(headers, "Authorization");
-    if (!token.starts_with(bearer_prefix))
-    {
-        return std::nullopt;
-    }
-    token.remove_prefix(bearer_prefix.size());
     for (organisation_spec const& organisation : tables.organisations)
     {
-        if (!organisation.credential.empty() &&
-            equal_in_constant_time(organisation.credential, token))
+        if (!organisation.key_digest.empty() &&
+            equal_in_constant_time(organisation.key_digest, credential_digest))
         {
             return organisation.name;
         }
@@ -85,4 +117,23 @@
     return std::nullopt;
 }
 
+site site_of(configuration const& tables)
+{
+    site result;
+    for (auto const& organisation : tables.organisations)
+    {
+        result.organisations.push_back(
+            {organisation.name, organisation.weight, organisation.key_digest});
+    }
+    for (auto const& route : tables.routes)
+    {
+        result.routes.push_back(route_of(tables, route));
+    }
+    for (auto const& upstream : tables.upstreams)
+    {
+        result.upstreams.push_back(upstream_of(tables, upstream));
+    }
+    return result;
+}
+
 } // namespace amarantharch
--- a/src/core/site.hpp
+++ b/src/core/site.hpp
@@ -19,6 +19,8 @@
 namespace amarantharch
 {
 
+struct configuration;
+
 enum class upstream_kind : std::uint8_t
 {
     engine, // a model engine: streams tokens, resumes, cancels
@@ -49,7 +51,7 @@
 {
     std::string name;
     double weight = 1.0;    // share relative to other organisations
-    std::string credential; // bearer token of its callers
+    std::string key_digest; // hex SHA-256 of its callers' bearer token
 };
 
 struct upstream_spec
@@ -75,11 +77,14 @@
 // The route with the longest prefix of `target`, or null. Linear in routes.
 route_spec const* match_route(site const& tables, std::string_view target);
 
-// The organisation whose credential the request bears. Where no organisation
-// is configured every caller belongs to the unnamed one; otherwise a request
-// without a known credential belongs to none.
-std::optional<std::string> identify_organisation(site const& tables,
-                                                 header_list const& headers);
+// The organisation whose key has the digest `credential_digest`. Where no
+// organisation is configured every caller belongs to the unnamed one;
+// otherwise a request without a known credential belongs to none.
+std::optional<std::string>
+identify_organisation(site const& tables, std::string_view credential_digest);
+
+// The tables of a configuration revision.
+site site_of(configuration const& tables);
 
 // The value of the first header called `name`, compared without case.
 std::string_view header_value(header_list const& headers,
