--- /dev/null
+++ b/src/core/admission_test.cpp
@@ -0,0 +1,331 @@
+#include "core/admission.hpp"
+#include "core/fair_queue.hpp"
+
+#include <boost/test/unit_test.hpp>
+#include <fmt/format.h>
+
+#include <map>
+#include <random>
+#include <string>
+
+namespace amarantharch
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+time_point const start = from_micros(5'000'000);
+
+queued_request waiting(std::string id, std::string organisation,
+                       request_class priority, std::uint32_t tokens)
+{
+    return {std::move(id), std::move(organisation), priority, tokens, 100,
+            start,         start + seconds(10)};
+}
+
+admission_request asked(std::string id, std::string organisation,
+                        request_class priority = request_class::standard)
+{
+    return {std::move(id), std::move(organisation), priority, 100, 1'000, {}};
+}
+
+admission_options options_with_limit(std::uint32_t limit)
+{
+    admission_options options;
+    options.limit.initial = limit;
+    options.limit.floor = 1;
+    options.interactive_reserve = 0;
+    return options;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(limits)
+
+BOOST_AUTO_TEST_SUITE(the_fair_queue)
+
+// However the sizes fall, two that wait all the time are served within the
+// largest request of each other, per weight.
+BOOST_AUTO_TEST_CASE(serves_by_weight_whatever_the_sizes)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed)
+    {
+        std::mt19937_64 random(seed);
+        fair_queue queue({});
+        queue.set_weight("heavy", 1);
+        queue.set_weight("light", 3);
+        std::map<std::string, double> served;
+        auto const refill = [&](std::string const& who)
+        {
+            auto const tokens = static_cast<std::uint32_t>(1 + random() % 500);
+            queue.push(waiting("x", who, request_class::standard, tokens));
+        };
+        for (int i = 0; i < 5; ++i)
+        {
+            refill("heavy");
+            refill("light");
+        }
+        for (int i = 0; i < 2'000; ++i)
+        {
+            auto const next = queue.pop(request_class::batch);
+            served[next->organisation] += next->tokens;
+            refill(next->organisation);
+        }
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            BOOST_TEST(std::abs(served["heavy"] - served["light"] / 3) <=
+                       1'000);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(never_idles_and_loses_nothing)
+{
+    std::mt19937_64 random(7);
+    fair_queue queue({});
+    std::size_t pushed = 0;
+    std::size_t popped = 0;
+    for (int i = 0; i < 5'000; ++i)
+    {
+        auto const level = static_cast<request_class>(random() % 3);
+        std::string const who = fmt::format("o{}", random() % 4);
+        queue.push(waiting(std::to_string(i), who, level, 10));
+        ++pushed;
+        if (random() % 3 != 0)
+        {
+            BOOST_TEST_REQUIRE(queue.pop(request_class::batch).has_value());
+            ++popped;
+        }
+    }
+    BOOST_TEST(queue.size() == pushed - popped);
+    while (queue.pop(request_class::batch))
+    {
+        ++popped;
+    }
+    BOOST_TEST(popped == pushed);
+    BOOST_TEST(queue.bytes() == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(serves_questions_first_and_starves_no_draft)
+{
+    fair_queue queue({});
+    for (int i = 0; i < 100; ++i)
+    {
+        queue.push(waiting("d", "o", request_class::batch, 100));
+        queue.push(waiting("q", "o", request_class::interactive, 100));
+    }
+    int drafts = 0;
+    for (int i = 0; i < 90; ++i)
+    {
+        auto const next = queue.pop(request_class::batch);
+        drafts += next->priority == request_class::batch ? 1 : 0;
+    }
+    BOOST_TEST(drafts == 10); // 1 part to 8
+    BOOST_TEST(!queue.waits(request_class::interactive) ==
+               (queue.pop(request_class::interactive) == std::nullopt));
+}
+
+BOOST_AUTO_TEST_CASE(earns_no_credit_by_idling)
+{
+    fair_queue queue({});
+    for (int i = 0; i < 100; ++i)
+    {
+        queue.push(waiting("b", "busy", request_class::standard, 1'000));
+        queue.pop(request_class::batch);
+    }
+    for (int i = 0; i < 400; ++i)
+    {
+        queue.push(waiting("b", "busy", request_class::standard, 1'000));
+        queue.push(waiting("i", "idle", request_class::standard, 1'000));
+    }
+    int busy = 0;
+    for (int i = 0; i < 300; ++i)
+    {
+        busy += queue.pop(request_class::batch)->organisation == "busy";
+    }
+    BOOST_TEST(busy >= 149);
+}
+
+BOOST_AUTO_TEST_CASE(bounds_what_stale_news_of_other_vms_can_do)
+{
+    fair_queue_options options;
+    options.max_lead = 5'000;
+    fair_queue queue(options);
+    for (int i = 0; i < 100; ++i)
+    {
+        queue.push(waiting("a", "a", request_class::standard, 1'000));
+        queue.push(waiting("b", "b", request_class::standard, 1'000));
+    }
+    queue.add_served_elsewhere("a", 1'000'000'000);
+    int before = 0;
+    while (queue.pop(request_class::batch)->organisation == "b")
+    {
+        ++before;
+    }
+    BOOST_TEST(before >= 4);
+    BOOST_TEST(before <= 6);
+}
+
+BOOST_AUTO_TEST_CASE(makes_room_at_the_cost_of_the_largest)
+{
+    fair_queue_options options;
+    options.max_requests = 10;
+    fair_queue queue(options);
+    for (int i = 0; i < 10; ++i)
+    {
+        queue.push(waiting(fmt::format("h{}", i), "heavy",
+                           request_class::standard, 10));
+    }
+    auto const lost =
+        queue.push(waiting("l", "light", request_class::standard, 10));
+    BOOST_TEST_REQUIRE(lost.size() == 1u);
+    BOOST_TEST(lost[0].id == "h9");
+    auto const own =
+        queue.push(waiting("h10", "heavy", request_class::standard, 10));
+    BOOST_TEST_REQUIRE(own.size() == 1u);
+    BOOST_TEST(own[0].id == "h10");
+    queued_request huge = waiting("huge", "light", request_class::batch, 10);
+    huge.bytes = options.max_bytes + 1;
+    auto const too_big = queue.push(huge);
+    BOOST_TEST_REQUIRE(too_big.size() == 1u);
+    BOOST_TEST(too_big[0].id == "huge");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(the_concurrency_limit)
+
+BOOST_AUTO_TEST_CASE(shrinks_once_per_congestion_and_grows_only_when_used)
+{
+    concurrency_limit limit({});
+    std::uint32_t const first = limit.limit();
+    for (int i = 0; i < 40; ++i)
+    {
+        limit.on_sample(start + milliseconds(i), start, true, first);
+    }
+    std::uint32_t const shrunk = limit.limit();
+    BOOST_TEST(shrunk < first);
+    BOOST_TEST(shrunk >= first * 8 / 10);
+    time_point const later = start + seconds(1);
+    for (int i = 0; i < 400; ++i)
+    {
+        limit.on_sample(later, later, false, shrunk / 2);
+    }
+    BOOST_TEST(limit.limit() == shrunk);
+    for (int i = 0; i < 40; ++i)
+    {
+        limit.on_sample(later, later, false, shrunk);
+    }
+    BOOST_TEST(limit.limit() > shrunk);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(admission_of_requests)
+
+BOOST_AUTO_TEST_CASE(runs_queues_and_releases)
+{
+    admission door(options_with_limit(1));
+    BOOST_TEST((door.offer(start, asked("1", "a")).outcome ==
+                admission_outcome::run_now));
+    BOOST_TEST((door.offer(start, asked("2", "a")).outcome ==
+                admission_outcome::queued));
+    BOOST_TEST(door.release(start).run.empty());
+    door.on_end(start + milliseconds(100), "1", 100);
+    door.on_end(start + milliseconds(100), "1", 100); // repeated: ignored
+    auto const released = door.release(start + milliseconds(100));
+    BOOST_TEST_REQUIRE(released.run.size() == 1u);
+    BOOST_TEST(released.run[0] == "2");
+    BOOST_TEST(!door.abandon("2"));
+    BOOST_TEST(door.in_flight() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(refuses_at_once_what_would_wait_too_long)
+{
+    admission door(options_with_limit(1));
+    door.offer(start, asked("0", "a"));
+    door.on_end(start + seconds(1), "0", 100); // 0.1 tokens a ms
+    time_point const now = start + seconds(2);
+    door.offer(now, asked("1", "a"));
+    door.offer(now, asked("2", "a"));
+    door.offer(now, asked("3", "a"));
+    auto const fourth = door.offer(now, asked("4", "a"));
+    BOOST_TEST((door.offer(now, asked("5", "a")).outcome ==
+                admission_outcome::refused));
+    BOOST_TEST(door.waiting() == 3u);
+    admission_request hurried = asked("6", "b");
+    hurried.deadline = now;
+    auto const refused = door.offer(now, hurried);
+    BOOST_TEST_REQUIRE(refused.why.has_value());
+    BOOST_TEST((refused.why->run == verdict::not_run));
+    BOOST_TEST(refused.why->status == 429);
+    BOOST_TEST((refused.why->retry_after > duration::zero()));
+    BOOST_TEST((fourth.outcome == admission_outcome::queued));
+}
+
+BOOST_AUTO_TEST_CASE(answers_finally_what_waited_too_long)
+{
+    admission door(options_with_limit(1));
+    door.offer(start, asked("1", "a"));
+    door.offer(start, asked("2", "a"));
+    BOOST_TEST(door.release(start + milliseconds(1'900)).refused.empty());
+    auto const later = door.release(start + milliseconds(2'000));
+    BOOST_TEST_REQUIRE(later.refused.size() == 1u);
+    BOOST_TEST(later.refused[0].id == "2");
+    BOOST_TEST((later.refused[0].why.run == verdict::not_run));
+    BOOST_TEST((later.refused[0].why.retry_after > duration::zero()));
+}
+
+BOOST_AUTO_TEST_CASE(keeps_a_part_for_questions)
+{
+    admission_options options = options_with_limit(10);
+    options.interactive_reserve = 0.2;
+    admission door(options);
+    int running = 0;
+    for (int i = 0; i < 20; ++i)
+    {
+        auto const result = door.offer(
+            start, asked(std::to_string(i), "a", request_class::batch));
+        running += result.outcome == admission_outcome::run_now ? 1 : 0;
+    }
+    BOOST_TEST(running == 8);
+    BOOST_TEST((door.offer(start, asked("q", "b", request_class::interactive))
+                    .outcome == admission_outcome::run_now));
+}
+
+// Whatever the order, loss and repetition of messages, the same usage counts
+// once, and a restarted peer's counters start again.
+BOOST_AUTO_TEST_CASE(merges_usage_of_peers_idempotently)
+{
+    auto const served_first = [](std::vector<usage_summary> const& heard)
+    {
+        admission door(options_with_limit(1));
+        door.merge({"peer", 1, {{"a", 0}, {"b", 0}}});
+        door.offer(start, asked("x", "x"));
+        door.offer(start, asked("a", "a"));
+        door.offer(start, asked("b", "b"));
+        for (usage_summary const& summary : heard)
+        {
+            door.merge(summary);
+        }
+        door.on_end(start, "x", 100);
+        return door.release(start).run.at(0);
+    };
+    usage_summary const early{"peer", 1, {{"a", 500}, {"b", 800}}};
+    usage_summary const late{"peer", 1, {{"a", 900}, {"b", 800}}};
+    BOOST_TEST(served_first({early}) == "a");
+    BOOST_TEST(served_first({early, late}) == "b");
+    BOOST_TEST(served_first({late, early}) == "b");
+    BOOST_TEST(served_first({early, early, early, late, late}) == "b");
+    usage_summary const restarted{"peer", 2, {{"b", 400}}};
+    BOOST_TEST(served_first({late, restarted, early}) == "a");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace amarantharch
--- a/src/core/fair_queue.cpp
+++ b/src/core/fair_queue.cpp
@@ -1,7 +1,6 @@
 #include "core/fair_queue.hpp"
 
 #include <algorithm>
-#include <iterator>
 #include <limits>
 
 namespace amarantharch
@@ -56,7 +55,7 @@
         return std::nullopt;
     }
     organisation_row& row = *next_organisation(*level);
-    queued_request taken = take(row, *level, row.lanes[*level].begin());
+    queued_request taken = take(row, *level, 0);
     row.counter += taken.tokens / row.weight;
     class_counters_[*level] += taken.tokens / options_.class_weights[*level];
     return taken;
@@ -74,7 +73,8 @@
                              [&id](auto const& w) { return w.id == id; });
             if (found != waiting.end())
             {
-                return take(row, level, found);
+                return take(row, level,
+                            static_cast<std::size_t>(found - waiting.begin()));
             }
         }
     }
@@ -96,9 +96,7 @@
                     ++i;
                     continue;
                 }
-                auto const place =
-                    waiting.begin() + static_cast<std::ptrdiff_t>(i);
-                expired.push_back(take(row, level, place));
+                expired.push_back(take(row, level, i));
             }
         }
     }
@@ -247,12 +245,11 @@
 }
 
 queued_request fair_queue::take(organisation_row& row, std::size_t level,
-                                lane::const_iterator position)
+                                std::size_t position)
 {
-    auto const place =
-        row.lanes[level].begin() + (position - row.lanes[level].cbegin());
-    queued_request taken = std::move(*place);
-    row.lanes[level].erase(place);
+    lane& waiting = row.lanes[level];
+    queued_request taken = std::move(waiting[position]);
+    waiting.erase(waiting.begin() + static_cast<std::ptrdiff_t>(position));
     --row.requests;
     row.bytes -= taken.bytes;
     row.waiting_tokens[level] -= taken.tokens;
@@ -287,7 +284,7 @@
     {
         --level;
     }
-    return take(*largest, level, std::prev(largest->lanes[level].end()));
+    return take(*largest, level, largest->lanes[level].size() - 1);
 }
 
 bool fair_queue::over_bounds() const
--- a/src/core/fair_queue.hpp
+++ b/src/core/fair_queue.hpp
@@ -125,7 +125,7 @@
     std::optional<std::size_t> next_class(request_class lowest) const;
     organisation_row* next_organisation(std::size_t level);
     queued_request take(organisation_row& row, std::size_t level,
-                        lane::const_iterator position);
+                        std::size_t position);
     queued_request give_up_newest();
     bool over_bounds() const;
 
