--- a/src/core/configuration.hpp
+++ b/src/core/configuration.hpp
@@ -6,15 +6,18 @@
 // resolved, all faults of content at once. publish, check and every reader of
 // the log run the same code, so a revision is valid everywhere or nowhere.
 //
-//     [organisation NAME]  weight, priority, key_digest, label.X
+//     [organisation NAME]  weight, credential, label.X
 //     [service NAME]       kind = engine|plain, idempotent = yes|no,
 //                          repeat_window_ms, first_token_ms, between_tokens_ms,
 //                          retry_ratio, label.X
-//     [route NAME]         path (prefix), service, organisations (selector)
+//     [route NAME]         path (prefix), service, organisations (selector),
+//                          timeout_ms, priority = 0..9
 //     [upstream NAME]      address = IP:PORT, service, version,
-//                          failure_domain, class, price, concurrency, label.X
+//                          failure_domain, class, price, capacity,
+//                          reclaimable = yes|no, label.X
 //     [move NAME]          select (upstreams' selector), from, to, deadline_us
-//     [limits]             see configuration_limits
+//     [limits]             queue_bytes, body_bytes, queue_time_ms,
+//                          bad_version_share
 //
 // A change may hold `[remove upstream NAME]`. Cost: linear in the text; a merge
 // and compile are linear in the whole configuration.
@@ -23,13 +26,14 @@
 
 #include "core/name_table.hpp"
 #include "core/selector.hpp"
+#include "core/site.hpp"
 #include "core/time.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
 #include <string_view>
-#include <utility>
 #include <vector>
 
 namespace amarantharch
@@ -105,57 +109,49 @@
 // The canonical text: the same tables always give the same bytes.
 std::string to_text(section_table const& sections);
 
-enum class service_kind : std::uint8_t
-{
-    engine, // streams tokens
-    plain,  // HTTP of any kind
-};
-
-inline constexpr name_table<service_kind, 2> service_kind_names{{
-    {service_kind::engine, "engine"},
-    {service_kind::plain, "plain"},
-}};
-
 struct organisation_row
 {
     std::string name;
     double weight = 1;
-    int priority = 5;       // 0 lowest to 9 highest
-    std::string key_digest; // hex of the SHA-256 of the callers' key, or empty
-    label_map labels;
+    std::string credential; // bearer token of its callers
+    label_map labels;       // with organisation
 };
 
 struct service_row
 {
     std::string name;
-    service_kind kind = service_kind::plain;
-    bool idempotent = false;
+    upstream_kind kind = upstream_kind::plain;
+    bool idempotent = true;
     duration repeat_window{}; // calls alike within it are one call; 0: never
-    duration first_token_target{};
-    duration between_tokens_target{};
-    double retry_ratio = 0.1; // retries allowed per successful call
-    label_map labels;
+    duration first_token_target{};    // 0: none
+    duration between_tokens_target{}; // 0: none
+    double retry_ratio = 0.1;         // retries per successful call
+    label_map labels;                 // with service
 };
 
 struct route_row
 {
     std::string name;
-    std::string path;    // prefix of the request's path; the longest wins
-    std::size_t service; // index in services
+    std::string path;        // prefix of the request's path; the longest wins
+    std::size_t service = 0; // index in services
     selector organisations;
+    duration timeout = default_route_timeout;
+    int priority = default_route_priority; // 0 is served last
 };
 
 struct upstream_row
 {
     std::string name;
-    std::string address; // ip:port
-    std::size_t service; // index in services
+    std::string address;     // ip:port
+    std::size_t service = 0; // index in services
     std::string version;
     std::string failure_domain;
     std::string machine_class;
-    double price = 0;             // per hour
-    std::int64_t concurrency = 0; // 0: learnt
-    label_map labels;             // with service, version, zone, class, name
+    double price = 1;          // per hour, in any one unit
+    std::int64_t capacity = 0; // requests in flight
+    bool reclaimable = false;
+    // With upstream, service, version, zone and class.
+    label_map labels;
 };
 
 struct move_row
@@ -169,8 +165,8 @@
 
 struct configuration_limits
 {
-    std::int64_t queue_bytes = 64LL * 1024 * 1024;
-    std::int64_t body_bytes = 8LL * 1024 * 1024;
+    std::int64_t queue_bytes = std::int64_t{64} * 1024 * 1024;
+    std::int64_t body_bytes = std::int64_t{8} * 1024 * 1024;
     duration queue_time = std::chrono::seconds(2);
     double bad_version_share = 0.01;
 };
@@ -194,7 +190,11 @@
 
 compiled_configuration compile(section_table const& sections);
 
-// Whom `text` would select, for a dry run; names in order.
+// The tables that a node decides by. Routes keep every organisation's access:
+// route_row::organisations is checked by the caller of match_route.
+site to_site(configuration const& tables);
+
+// Whom a selector selects, for a dry run; names in order.
 struct selection
 {
     std::vector<std::string> organisations;
--- a/src/core/configuration_store.hpp
+++ b/src/core/configuration_store.hpp
@@ -46,6 +46,7 @@
     revision base;          // the revision it was written against
     bool replaces_all = false;
     std::string author;
+    time_point written{}; // by the operator's clock
     std::string text;
     std::string signature; // over signed_bytes()
 };
@@ -53,13 +54,21 @@
 // The bytes that the signature covers: all fields but the signature.
 std::string signed_bytes(configuration_change const& change);
 
+struct accepted_publish
+{
+    std::string publish_id;
+    revision position;
+};
+
 // The revision in force and the offset up to which its holder has read.
 struct configuration_snapshot
 {
     revision in_force;
     log_offset as_of = 0;
     std::string author;
-    std::string text; // canonical
+    time_point written{}; // when its newest copy in the log was written
+    std::string text;     // canonical
+    std::vector<accepted_publish> recent; // oldest first
 };
 
 // Payloads of the configuration stream.
@@ -110,9 +119,10 @@
     std::string vm;
     verify_signature verify = nullptr; // none: every signature is refused
     duration retention = std::chrono::hours(24);
-    std::size_t text_bytes = 900 * 1024; // limit of the whole configuration
+    std::size_t text_bytes =
+        std::size_t{900} * 1024; // limit of the whole configuration
     std::size_t remembered_decisions = 128;
-    std::size_t pending_bytes = 4 * 1024 * 1024;
+    std::size_t pending_bytes = std::size_t{4} * 1024 * 1024;
 };
 
 struct configuration_readiness
@@ -188,35 +198,43 @@
         std::vector<std::string> sections;
     };
 
+    void note_gap(log_offset first_retained);
     void apply_record(time_point now, log_record const& record,
                       std::vector<change_decision>& decisions);
     change_decision decide(time_point now, revision position,
                            configuration_change const& change);
-    change_decision decide_on_content(time_point now, change_decision decision,
-                                      configuration_change const& change);
-    void take_checkpoint(time_point now, configuration_snapshot const& from,
+    void take_content(time_point now, configuration_change const& change,
+                      change_decision& decision);
+    void take_checkpoint(time_point now, revision position,
+                         configuration_snapshot const& from,
                          std::vector<change_decision>& decisions);
-    bool replace_state(time_point now, configuration_snapshot const& from);
+    absl::Status replace_state(time_point now,
+                               configuration_snapshot const& from);
+    void replay_pending(time_point now, log_offset as_of,
+                        std::vector<change_decision>& decisions);
     void keep_pending(revision position, configuration_change change);
     void remember(change_decision const& decision);
     std::vector<std::string> changed_since(revision base) const;
-    bool holds_everything_after(log_offset as_of) const;
+    void update_readiness();
 
     configuration_store_options options_;
     // known_: in_force_, author_, sections_ and tables_ are the state after
     // every record before next_.
     bool known_ = false;
+    bool was_ready_ = false; // a VM that is ready stays so while known_
     revision in_force_;
     std::string author_;
     section_table sections_;
     std::shared_ptr<configuration const> tables_;
-    log_offset start_ = 0; // every record from start_ to next_ was seen
+    log_offset start_ = 1; // every record from start_ to next_ was seen
     log_offset next_ = 1;
     log_offset end_ = 0; // of the log, when last asked; 0: not yet asked
     revision heard_;
     bool log_reachable_ = true;
-    bool lost_copy_ = false;              // no copy of in_force_ is retained
-    time_point copied_at_{};              // when its newest copy was read
+    log_offset copy_at_ = 0; // offset of the newest copy of in_force_
+    time_point written_{};   // of that copy
+    bool copy_lost_ = false; // no copy is retained
+    std::optional<time_point> checkpoint_due_;
     std::vector<pending_change> pending_; // empty if known_
     std::size_t pending_bytes_ = 0;
     std::deque<change_decision> decisions_;
--- a/src/core/log_client.hpp
+++ b/src/core/log_client.hpp
@@ -138,8 +138,9 @@
     std::uint64_t incarnation = 0; // must grow with each start of this VM
     std::uint64_t seed = 0;        // of the backoff's jitter
     duration linger = std::chrono::milliseconds(5);
-    std::size_t batch_bytes = 256 * 1024;
-    std::size_t queue_bytes = 4 * 1024 * 1024; // of all streams together
+    std::size_t batch_bytes = std::size_t{960} * 1024; // the log takes 1 MiB
+    std::size_t queue_bytes =
+        std::size_t{4} * 1024 * 1024; // of all streams together
     duration read_wait = std::chrono::seconds(20);
     duration backoff_min = std::chrono::milliseconds(50);
     duration backoff_max = std::chrono::seconds(5);
--- a/src/core/snapshot.hpp
+++ b/src/core/snapshot.hpp
@@ -21,8 +21,8 @@
 namespace amarantharch
 {
 
-inline constexpr std::size_t snapshot_piece_bytes = 64 * 1024;
-inline constexpr std::size_t snapshot_max_bytes = 16 * 1024 * 1024;
+inline constexpr std::size_t snapshot_piece_bytes = std::size_t{64} * 1024;
+inline constexpr std::size_t snapshot_max_bytes = std::size_t{16} * 1024 * 1024;
 
 struct vm_snapshot
 {
