--- a/src/standin/main.cpp
+++ b/src/standin/main.cpp
@@ -55,6 +55,11 @@
     (void)add("cache-blocks",
               options::value(&chosen.cache_blocks)->default_value(4096),
               "prefix cache of the engine (blocks)");
+    (void)add("step-us", options::value(&chosen.step_us)->default_value(5000),
+              "time of the engine's step, before what its streams add (us)");
+    (void)add("lose-every",
+              options::value(&chosen.lose_every)->default_value(0),
+              "each n-th cache event of the engine is lost; 0: none");
     return known;
 }
 
--- a/src/standin/roles.cpp
+++ b/src/standin/roles.cpp
@@ -1,7 +1,9 @@
 #include "standin/roles.hpp"
 
+#include "standin/engine.hpp"
 #include "standin/log_service.hpp"
 #include "standin/plain_service.hpp"
+#include "standin/platform_service.hpp"
 
 #include <absl/strings/numbers.h>
 
@@ -34,9 +36,31 @@
                               std::chrono::milliseconds(options.run_ms)});
 }
 
+std::unique_ptr<role> make_engine(standin_options const& options)
+{
+    engine_options chosen;
+    chosen.versions = {options.version};
+    chosen.checks_fence = options.fence;
+    chosen.report_lag = std::chrono::milliseconds(options.lag_ms);
+    chosen.base_step = std::chrono::microseconds(options.step_us);
+    chosen.cache.blocks = options.cache_blocks;
+    chosen.cache.lag = chosen.report_lag;
+    chosen.cache.lose_every = options.lose_every;
+    return std::make_unique<engine>(chosen);
+}
+
+std::unique_ptr<role> make_platform(standin_options const& options)
+{
+    platform_service_options chosen;
+    chosen.list_lag = std::chrono::milliseconds(options.lag_ms);
+    return std::make_unique<platform_service>(chosen);
+}
+
 constexpr role_row role_table[] = {
+    {"engine", make_engine},
     {"log", make_log},
     {"plain", make_plain},
+    {"platform", make_platform},
 };
 
 role_row const* find_role(std::string_view name)
--- a/src/standin/roles.hpp
+++ b/src/standin/roles.hpp
@@ -27,6 +27,8 @@
     std::int64_t lag_ms = 500;
     bool fence = true;
     std::uint64_t cache_blocks = 4096;
+    std::int64_t step_us = 5000;
+    std::uint64_t lose_every = 0;
 };
 
 // The names of all roles, separated by commas.
