--- a/src/core/event.hpp
+++ b/src/core/event.hpp
@@ -58,19 +58,6 @@
 {
 };
 
-// Records read from the platform's log, in order and without a gap unless
-// `first_retained` lies beyond the reader's last position.
-struct log_read
-{
-    log_batch batch;
-};
-
-// The platform's log became reachable or unreachable.
-struct log_reachability
-{
-    bool reachable;
-};
-
 // A message from another VM, its sender authenticated by the transport.
 struct peer_message_received
 {
--- a/src/core/log.hpp
+++ b/src/core/log.hpp
@@ -56,6 +56,9 @@
     log_position position;
     record_id id;
     std::string payload;
+    time_point time{}; // when the log took it, by the log's clock
+    // An earlier copy may lie before the offset where this reader began.
+    bool maybe_repeated = false;
 };
 
 // What one read returned.
@@ -68,6 +71,19 @@
     std::vector<log_record> records;
 };
 
+// Records read from a stream, in order and without a gap unless
+// `first_retained` lies beyond the reader's last position.
+struct log_read
+{
+    log_batch batch;
+};
+
+// The platform's log became reachable or unreachable.
+struct log_reachability
+{
+    bool reachable;
+};
+
 } // namespace amarantharch
 
 #endif
