--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -23,7 +23,7 @@
 ./build/amarantharch-standin 2> "$work/standin.log" & pids+=($!)
 upstream=$(port_of "$work/standin.log")
 for domain in asan patan bhaktapur; do
-    printf '[vm]\nid = entry-%s\nfailure_domain = %s\n\n[upstream desk-1]\naddress = 127.0.0.1:%s\n' \
+    printf '[vm]\nid = entry-%s\nfailure_domain = %s\n\n[upstream desk-1]\naddress = 127.0.0.1:%s\nservice = desk\n\n[route listings]\nprefix = /listings\nservice = desk\nidempotent = yes\n' \
         "$domain" "$domain" "$upstream" > "$work/$domain.ini"
     ./build/amarantharch serve --settings "$work/$domain.ini" \
         2> "$work/$domain.log" & pids+=($!)
--- a/src/core/configuration.cpp
+++ b/src/core/configuration.cpp
@@ -513,7 +513,7 @@
         organisation_row row;
         row.name = name;
         row.weight = reader.number("weight", 0.001, 1000, row.weight);
-        row.credential = reader.text("credential");
+        row.key_digest = reader.text("key_digest");
         row.labels = reader.labels();
         row.labels["organisation"] = name;
         tables().organisations.push_back(std::move(row));
@@ -563,7 +563,7 @@
     {
         constexpr std::int64_t max_capacity = 1'000'000;
         constexpr std::int64_t missing_capacity = 16;
-        upstream_row row;
+        configured_upstream row;
         row.name = name;
         row.address = reader.address("address");
         row.service = service(reader);
@@ -747,7 +747,7 @@
     }
     for (auto const& row : tables.organisations)
     {
-        result.organisations.push_back({row.name, row.weight, row.credential});
+        result.organisations.push_back({row.name, row.weight, row.key_digest});
     }
     for (auto const& row : tables.upstreams)
     {
--- a/src/core/configuration.hpp
+++ b/src/core/configuration.hpp
@@ -6,7 +6,7 @@
 // resolved, all faults of content at once. publish, check and every reader of
 // the log run the same code, so a revision is valid everywhere or nowhere.
 //
-//     [organisation NAME]  weight, credential, label.X
+//     [organisation NAME]  weight, key_digest, label.X
 //     [service NAME]       kind = engine|plain, idempotent = yes|no,
 //                          repeat_window_ms, first_token_ms, between_tokens_ms,
 //                          retry_ratio, label.X
@@ -113,7 +113,7 @@
 {
     std::string name;
     double weight = 1;
-    std::string credential; // bearer token of its callers
+    std::string key_digest; // hex SHA-256 of its callers' bearer token
     label_map labels;       // with organisation
 };
 
--- a/src/core/configuration_test.cpp
+++ b/src/core/configuration_test.cpp
@@ -12,7 +12,7 @@
 
 std::string const whole_text = R"([organisation ward-office]
 weight = 2
-credential = secret
+key_digest = secret
 label.tier = gold
 [organisation canton]
 [service drafts]
@@ -169,7 +169,7 @@
          "its section"},
         {"[organisation a]\ncolour = red",
          "line 2, column 10: [organisation a] colour: expected one of "
-         "credential, weight"},
+         "key_digest, weight"},
         {"[service s]\nidempotent = maybe",
          "line 2, column 14: [service s] idempotent: expected yes or no, "
          "found \"maybe\""},
--- a/src/core/session_text.cpp
+++ b/src/core/session_text.cpp
@@ -315,7 +315,7 @@
     {"call", parse_call}, {"abandoned", parse_abandoned},
     {"head", parse_head}, {"piece", parse_piece},
     {"end", parse_end},   {"failed", parse_failed},
-    {"tick", parse_tick}, {"log_reachable", parse_log_reachable},
+    {"tick", parse_tick}, {"leaving", parse_leaving},
     {"stop", parse_stop},
 };
 
--- a/src/core/site.cpp
+++ b/src/core/site.cpp
@@ -1,7 +1,5 @@
 #include "core/site.hpp"
 
-#include "core/configuration.hpp"
-
 #include <absl/strings/match.h>
 
 namespace amarantharch
@@ -10,8 +8,6 @@
 namespace
 {
 
-constexpr std::uint32_t default_capacity = 16;
-
 absl::string_view absl_view(std::string_view text)
 {
     return {text.data(), text.size()};
@@ -34,42 +30,6 @@
     return difference == 0;
 }
 
-upstream_kind kind_of(service_kind kind)
-{
-    return kind == service_kind::engine ? upstream_kind::engine
-                                        : upstream_kind::plain;
-}
-
-route_spec route_of(configuration const& tables, route_row const& route)
-{
-    service_row const& service = tables.services[route.service];
-    route_spec result;
-    result.name = route.name;
-    result.prefix = route.path;
-    result.service = service.name;
-    result.kind = kind_of(service.kind);
-    result.idempotent = service.idempotent;
-    return result;
-}
-
-upstream_spec upstream_of(configuration const& tables,
-                          configured_upstream const& upstream)
-{
-    service_row const& service = tables.services[upstream.service];
-    upstream_spec result;
-    result.name = upstream.name;
-    result.address = upstream.address;
-    result.service = service.name;
-    result.kind = kind_of(service.kind);
-    result.version = upstream.version;
-    result.failure_domain = upstream.failure_domain;
-    result.price = upstream.price;
-    result.capacity = upstream.concurrency > 0
-                          ? static_cast<std::uint32_t>(upstream.concurrency)
-                          : default_capacity;
-    return result;
-}
-
 } // namespace
 
 route_spec const* match_route(site const& tables, std::string_view target)
@@ -117,23 +77,4 @@
     return std::nullopt;
 }
 
-site site_of(configuration const& tables)
-{
-    site result;
-    for (auto const& organisation : tables.organisations)
-    {
-        result.organisations.push_back(
-            {organisation.name, organisation.weight, organisation.key_digest});
-    }
-    for (auto const& route : tables.routes)
-    {
-        result.routes.push_back(route_of(tables, route));
-    }
-    for (auto const& upstream : tables.upstreams)
-    {
-        result.upstreams.push_back(upstream_of(tables, upstream));
-    }
-    return result;
-}
-
 } // namespace amarantharch
--- a/src/core/site.hpp
+++ b/src/core/site.hpp
@@ -19,8 +19,6 @@
 namespace amarantharch
 {
 
-struct configuration;
-
 enum class upstream_kind : std::uint8_t
 {
     engine, // a model engine: streams tokens, resumes, cancels
@@ -83,9 +81,6 @@
 std::optional<std::string>
 identify_organisation(site const& tables, std::string_view credential_digest);
 
-// The tables of a configuration revision.
-site site_of(configuration const& tables);
-
 // The value of the first header called `name`, compared without case.
 std::string_view header_value(header_list const& headers,
                               std::string_view name);
