--- a/src/core/admission.cpp
+++ b/src/core/admission.cpp
@@ -44,8 +44,8 @@
 admission_result admission::offer(time_point now, admission_request const& what)
 {
     admission_result result;
-    bool const room = in_flight() < limit_for(what.priority);
-    if (room && !queue_.waits(what.priority))
+    auto const lowest = lowest_runnable();
+    if (lowest && what.priority <= *lowest && !queue_.waits(*lowest))
     {
         start(now, {what.id, what.organisation, what.priority, what.tokens,
                     what.bytes, now, now});
@@ -96,7 +96,8 @@
     row.answer_begun = true;
     duration const target =
         options_.classes[level_of(row.priority)].first_byte_target;
-    bool const late = now - row.started > target;
+    bool const late = std::chrono::duration<double>(now - row.started) >
+                      target * options_.upstream_target_share;
     limit_.on_sample(now, row.started, late,
                      static_cast<std::uint32_t>(in_flight()));
 }
@@ -111,6 +112,7 @@
     }
     running_row const ended = std::move(known->second);
     running_.erase(known);
+    running_others_ -= ended.priority == request_class::interactive ? 0 : 1;
     queue_.add_served(ended.organisation,
                       static_cast<double>(tokens) -
                           static_cast<double>(ended.tokens));
@@ -184,28 +186,20 @@
     peers_.erase(vm);
 }
 
-std::uint32_t admission::limit_for(request_class priority) const
+std::uint32_t admission::limit_of_others() const
 {
-    std::uint32_t const whole = limit_.limit();
-    if (priority == request_class::interactive)
-    {
-        return whole;
-    }
-    double const open = whole * (1 - options_.interactive_reserve);
+    double const open = limit() * (1 - options_.interactive_reserve);
     return std::max(1u, static_cast<std::uint32_t>(open));
 }
 
 std::optional<request_class> admission::lowest_runnable() const
 {
-    if (in_flight() < limit_for(request_class::batch))
-    {
-        return request_class::batch;
-    }
-    if (in_flight() < limit_for(request_class::interactive))
+    if (in_flight() >= limit())
     {
-        return request_class::interactive;
+        return std::nullopt;
     }
-    return std::nullopt;
+    return running_others_ < limit_of_others() ? request_class::batch
+                                               : request_class::interactive;
 }
 
 duration admission::predicted_wait(admission_request const& what) const
@@ -249,8 +243,12 @@
 
 void admission::start(time_point now, queued_request const& what)
 {
-    running_[what.id] = {what.organisation, what.priority, what.tokens, now,
-                         false};
+    running_row const row{what.organisation, what.priority, what.tokens, now,
+                          false};
+    if (running_.emplace(what.id, row).second)
+    {
+        running_others_ += what.priority == request_class::interactive ? 0 : 1;
+    }
 }
 
 void admission::measure(duration ran, std::uint32_t tokens)
--- a/src/core/admission.hpp
+++ b/src/core/admission.hpp
@@ -9,8 +9,8 @@
 // a spread of up to half of it derived from the request's id, so that refused
 // callers do not come back together.
 //
-// Part of the limit is kept for interactive requests: batch and standard
-// requests may not use the last `interactive_reserve` of it.
+// Part of the limit is kept for interactive requests: no more than the limit
+// less `interactive_reserve` of it may be of other classes.
 //
 // Shares between VMs: usage() is a cumulative count per organisation, which
 // peers merge by maximum: late, repeated and reordered messages do no harm.
@@ -59,6 +59,9 @@
          {std::chrono::milliseconds(15'000),
           std::chrono::milliseconds(5'000)}}};
     double interactive_reserve = 0.15;
+    // Share of the first-byte target that the upstreams may take before the
+    // concurrency limit counts a request as late; the rest is for the queue.
+    double upstream_target_share = 0.5;
     duration min_retry_after = std::chrono::milliseconds(250);
     duration max_retry_after = std::chrono::seconds(60);
 };
@@ -182,7 +185,7 @@
         std::map<std::string, std::uint64_t> served;
     };
 
-    std::uint32_t limit_for(request_class priority) const;
+    std::uint32_t limit_of_others() const;
     std::optional<request_class> lowest_runnable() const;
     duration predicted_wait(admission_request const& what) const;
     duration allowed_wait(time_point now, admission_request const& what) const;
@@ -195,6 +198,7 @@
     concurrency_limit limit_;
     fair_queue queue_;
     absl::flat_hash_map<request_id, running_row> running_;
+    std::uint32_t running_others_ = 0;            // of these, not interactive
     std::map<std::string, std::uint64_t> served_; // tokens, by organisation
     std::map<std::string, peer_row> peers_;
     // Means over the requests that ended lately; the oldest fade out.
--- a/src/core/fair_queue.cpp
+++ b/src/core/fair_queue.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <numeric>
 
 namespace amarantharch
 {
@@ -28,10 +29,7 @@
     organisation_row& row = organisations_[what.organisation];
     std::size_t const level = level_of(what.priority);
     row.counter = lifted(row);
-    if (class_requests_[level] == 0)
-    {
-        lift_class(level);
-    }
+    lift_class(row, level);
     ++row.requests;
     row.bytes += what.bytes;
     row.waiting_tokens[level] += what.tokens;
@@ -49,15 +47,15 @@
 
 std::optional<queued_request> fair_queue::pop(request_class lowest)
 {
-    auto const level = next_class(lowest);
-    if (!level)
+    organisation_row* const row = next_organisation(level_of(lowest));
+    if (row == nullptr)
     {
         return std::nullopt;
     }
-    organisation_row& row = *next_organisation(*level);
-    queued_request taken = take(row, *level, 0);
-    row.counter += taken.tokens / row.weight;
-    class_counters_[*level] += taken.tokens / options_.class_weights[*level];
+    std::size_t const level = *next_class(*row, level_of(lowest));
+    queued_request taken = take(*row, level, 0);
+    row->counter += taken.tokens / row->weight;
+    row->class_counters[level] += taken.tokens / options_.class_weights[level];
     return taken;
 }
 
@@ -127,46 +125,51 @@
     organisation_row const& own =
         known == organisations_.end() ? unknown : known->second;
     std::size_t const level = level_of(priority);
-    double const counter = lifted(own);
-    double const own_ahead = own.waiting_tokens[level];
+    double const own_ahead = own_tokens_ahead(own, level, tokens);
+    double const until = lifted(own) + (own_ahead + tokens) / own.weight -
+                         options_.class_leads[level];
     double ahead = own_ahead;
     for (auto const& [name, row] : organisations_)
     {
-        if (&row == &own)
+        if (&row == &own || row.requests == 0)
         {
             continue;
         }
         // The other is served until its counter has passed the own one.
-        double const until = counter + (own_ahead + tokens) / own.weight;
-        double const served = std::max(0.0, until - row.counter) * row.weight;
-        ahead += std::min(row.waiting_tokens[level], served);
+        double const start =
+            row.counter - lead_of(row, request_class_count - 1);
+        double const waiting = std::accumulate(row.waiting_tokens.begin(),
+                                               row.waiting_tokens.end(), 0.0);
+        ahead += std::min(waiting, std::max(0.0, until - start) * row.weight);
     }
-    double others = 0;
+    return ahead;
+}
+
+double fair_queue::own_tokens_ahead(organisation_row const& row,
+                                    std::size_t level,
+                                    std::uint32_t tokens) const
+{
+    double const same = row.waiting_tokens[level];
+    double ahead = same;
     for (std::size_t l = 0; l < request_class_count; ++l)
     {
         if (l != level)
         {
             double const share =
                 options_.class_weights[l] / options_.class_weights[level];
-            others += std::min(class_tokens(l), (ahead + tokens) * share);
+            ahead += std::min(row.waiting_tokens[l], (same + tokens) * share);
         }
     }
-    return ahead + others;
+    return ahead;
 }
 
 bool fair_queue::waits(request_class lowest) const
 {
-    return next_class(lowest).has_value();
-}
-
-double fair_queue::class_tokens(std::size_t level) const
-{
-    double sum = 0;
-    for (auto const& [name, row] : organisations_)
-    {
-        sum += row.waiting_tokens[level];
-    }
-    return sum;
+    std::size_t const classes = level_of(lowest) + 1;
+    return std::any_of(class_requests_.begin(),
+                       class_requests_.begin() +
+                           static_cast<std::ptrdiff_t>(classes),
+                       [](std::size_t count) { return count > 0; });
 }
 
 double fair_queue::lowest_waiting() const
@@ -199,30 +202,28 @@
                           : std::max({row.counter, floor, lowest});
 }
 
-void fair_queue::lift_class(std::size_t level)
+void fair_queue::lift_class(organisation_row& row, std::size_t level)
 {
-    double lowest = std::numeric_limits<double>::infinity();
-    for (std::size_t l = 0; l < request_class_count; ++l)
+    if (!row.lanes[level].empty())
     {
-        if (class_requests_[l] > 0)
-        {
-            lowest = std::min(lowest, class_counters_[l]);
-        }
+        return;
     }
-    bool const others_wait = lowest != std::numeric_limits<double>::infinity();
-    double const highest =
-        *std::max_element(class_counters_.begin(), class_counters_.end());
-    class_counters_[level] =
-        std::max(class_counters_[level], others_wait ? lowest : highest);
+    auto const next = next_class(row, request_class_count - 1);
+    double const floor = next ? row.class_counters[*next]
+                              : *std::max_element(row.class_counters.begin(),
+                                                  row.class_counters.end());
+    row.class_counters[level] = std::max(row.class_counters[level], floor);
 }
 
-std::optional<std::size_t> fair_queue::next_class(request_class lowest) const
+std::optional<std::size_t> fair_queue::next_class(organisation_row const& row,
+                                                  std::size_t lowest)
 {
     std::optional<std::size_t> best;
-    for (std::size_t l = 0; l <= level_of(lowest); ++l)
+    for (std::size_t l = 0; l <= lowest; ++l)
     {
-        bool const waits = class_requests_[l] > 0;
-        if (waits && (!best || class_counters_[l] < class_counters_[*best]))
+        bool const before =
+            !best || row.class_counters[l] < row.class_counters[*best];
+        if (!row.lanes[l].empty() && before)
         {
             best = l;
         }
@@ -230,15 +231,30 @@
     return best;
 }
 
-fair_queue::organisation_row* fair_queue::next_organisation(std::size_t level)
+double fair_queue::lead_of(organisation_row const& row,
+                           std::size_t lowest) const
+{
+    for (std::size_t l = 0; l <= lowest; ++l)
+    {
+        if (!row.lanes[l].empty())
+        {
+            return options_.class_leads[l];
+        }
+    }
+    return 0;
+}
+
+fair_queue::organisation_row* fair_queue::next_organisation(std::size_t lowest)
 {
     organisation_row* best = nullptr;
+    double best_key = std::numeric_limits<double>::infinity();
     for (auto& [name, row] : organisations_)
     {
-        bool const waits = !row.lanes[level].empty();
-        if (waits && (best == nullptr || row.counter < best->counter))
+        double const key = row.counter - lead_of(row, lowest);
+        if (next_class(row, lowest) && key < best_key)
         {
             best = &row;
+            best_key = key;
         }
     }
     return best;
--- a/src/core/fair_queue.hpp
+++ b/src/core/fair_queue.hpp
@@ -6,9 +6,13 @@
 // counter of those waiting, so idle time earns no credit. Hence, of two that
 // wait all the time, the served tokens per weight differ by at most the largest
 // request's, and the queue never idles while anyone waits.
-// Classes are ordered the same way, by counters over class weights: a class
-// with few tokens to serve goes first practically always, and every class that
-// waits gets at least its weight's share, so none starves.
+// A class may be given a lead: its requests are chosen as if their
+// organisation's counter were lower by `class_leads` tokens. So questions go
+// before other organisations' drafts, and by no more than the lead.
+// Within an organisation, classes are ordered the same way as organisations, by
+// counters over class weights: a class with few tokens to serve goes first
+// practically always, and every class that waits gets at least its weight's
+// share, so none starves.
 //
 // Tokens served without waiting, here or at other VMs, count as well, so that
 // who used much a moment ago goes behind who used little. What this can cost is
@@ -54,6 +58,7 @@
     std::size_t max_requests = 10'000;
     std::size_t max_bytes = 16u << 20;
     std::array<double, request_class_count> class_weights{{8, 3, 1}};
+    std::array<double, request_class_count> class_leads{{20'000, 5'000, 0}};
     double max_lead = 100'000; // tokens
 };
 
@@ -114,16 +119,21 @@
         double counter = 0; // tokens served per weight
         std::size_t requests = 0;
         std::size_t bytes = 0;
+        // Tokens served per class weight, for order among its own classes.
+        std::array<double, request_class_count> class_counters{};
         std::array<double, request_class_count> waiting_tokens{};
         std::array<lane, request_class_count> lanes;
     };
 
     double lowest_waiting() const; // counter; infinity if nobody waits
     double lifted(organisation_row const& row) const;
-    double class_tokens(std::size_t level) const;
-    void lift_class(std::size_t level);
-    std::optional<std::size_t> next_class(request_class lowest) const;
-    organisation_row* next_organisation(std::size_t level);
+    static void lift_class(organisation_row& row, std::size_t level);
+    static std::optional<std::size_t> next_class(organisation_row const& row,
+                                                 std::size_t lowest);
+    double lead_of(organisation_row const& row, std::size_t lowest) const;
+    organisation_row* next_organisation(std::size_t lowest);
+    double own_tokens_ahead(organisation_row const& row, std::size_t level,
+                            std::uint32_t tokens) const;
     queued_request take(organisation_row& row, std::size_t level,
                         std::size_t position);
     queued_request give_up_newest();
@@ -131,9 +141,8 @@
 
     fair_queue_options options_;
     std::map<std::string, organisation_row> organisations_;
-    std::array<double, request_class_count> class_counters_{};
-    std::array<std::size_t, request_class_count> class_requests_{};
     // Sums over organisations_.
+    std::array<std::size_t, request_class_count> class_requests_{};
     std::size_t requests_ = 0;
     std::size_t bytes_ = 0;
 };
--- a/src/core/retry_budget.hpp
+++ b/src/core/retry_budget.hpp
@@ -31,7 +31,7 @@
 
 struct retry_budget_options
 {
-    double ratio = 0.1;
+    double ratio = 0.15;
     double initial = 2;
     double cap = 50;
     std::uint32_t max_attempts = 3;                       // of one request
--- a/src/core/retry_budget_test.cpp
+++ b/src/core/retry_budget_test.cpp
@@ -109,7 +109,9 @@
 
 BOOST_AUTO_TEST_CASE(wait_until_moves_are_paid_back)
 {
-    retry_budget budget({});
+    retry_budget_options options;
+    options.ratio = 0.1;
+    retry_budget budget(options);
     retry_question move = question();
     move.cause = retry_cause::upstream_leaving;
     for (move.attempts = 1; move.attempts <= 10; ++move.attempts)
--- a/src/core/routing.cpp
+++ b/src/core/routing.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <limits>
 
 namespace amarantharch
@@ -16,7 +17,18 @@
 // An estimate of output where the request names none, in tokens.
 constexpr double default_output_tokens = 128;
 
-// Attempts remembered for an upstream between two of its reports.
+// Error of the estimate of an upstream's load, in requests, with a fresh report
+// and for each second of its age.
+constexpr double load_error = 1.5;
+constexpr double load_error_per_second = 1.5;
+
+// Weight of the newest sample in means.
+constexpr double mean_gain = 0.05;
+
+// Bound of the fleet's requests for each of this VM's.
+constexpr double max_all_per_own = 64;
+
+// Changes remembered for an upstream between two of its reports.
 constexpr std::size_t max_recent = 4'096;
 
 double millis_between(time_point from, time_point to)
@@ -119,6 +131,7 @@
                                                upstream_table const& table)
 {
     class_routing const& bounds = class_of(options_, what);
+    learn_fleet_size(table);
     double total_load = 0;
     for (candidate const& c : candidates_)
     {
@@ -214,8 +227,8 @@
     choice result;
     result.upstream = upstream;
     result.predicted_cached_tokens = static_cast<std::uint32_t>(cached);
-    result.predicted_ms =
-        work / row.profile.prefill_tokens_per_ms + slot_wait_ms(upstream, row);
+    result.predicted_ms = work / row.profile.prefill_tokens_per_ms +
+                          slot_wait_ms(now, upstream, row);
     return result;
 }
 
@@ -233,34 +246,68 @@
     double const age = millis_between(row.report->measured_at, now);
     double const known =
         static_cast<double>(row.report->queued_prefill_tokens) +
-        static_cast<double>(own.tokens_since_report);
+        static_cast<double>(own.tokens_since_report) * fleet_factor();
     return std::max(own_waiting, known - age * rate);
 }
 
-double router::load_of(upstream_index upstream, upstream_row const& row) const
+double router::requests_at(upstream_index upstream,
+                           upstream_row const& row) const
 {
-    double load = row.in_flight;
-    if (row.report)
+    double const own = row.in_flight;
+    if (!row.report)
     {
-        std::uint32_t const since =
-            upstream < sent_.size() ? sent_[upstream].attempts_since_report : 0;
-        load = std::max(load, static_cast<double>(row.report->running +
-                                                  row.report->waiting + since));
+        return own;
     }
-    return load / std::max(1u, row.profile.slots);
+    int const since =
+        upstream < sent_.size() ? sent_[upstream].in_flight_since_report : 0;
+    double const reported = row.report->running + row.report->waiting;
+    return std::max(own, reported + since * fleet_factor());
 }
 
-double router::slot_wait_ms(upstream_index upstream,
+double router::load_of(upstream_index upstream, upstream_row const& row) const
+{
+    return requests_at(upstream, row) / std::max(1u, row.profile.slots);
+}
+
+double router::slot_wait_ms(time_point now, upstream_index upstream,
                             upstream_row const& row) const
 {
-    double const load = load_of(upstream, row);
-    if (load < 1)
+    double const slots = std::max(1u, row.profile.slots);
+    double const known_hold =
+        upstream < sent_.size() ? sent_[upstream].mean_hold_ms : 0;
+    double const hold = known_hold > 0 ? known_hold
+                                       : default_output_tokens *
+                                             row.profile.ms_per_output_token;
+    double const age_seconds =
+        row.report ? millis_between(row.report->measured_at, now) / 1'000 : 0;
+    double const error = load_error + load_error_per_second * age_seconds;
+    // Expected number of requests that must end first: a smooth max(0, x).
+    double const excess = (requests_at(upstream, row) + 1 - slots) / error;
+    double const before =
+        excess > 30 ? excess * error : error * std::log1p(std::exp(excess));
+    return before * hold / slots;
+}
+
+double router::fleet_factor() const
+{
+    return 1 + (all_per_own_ - 1) * options_.herd_share;
+}
+
+void router::learn_fleet_size(upstream_table const& table)
+{
+    double own = 0;
+    double all = 0;
+    for (candidate const& c : candidates_)
+    {
+        upstream_row const& row = table.row(c.upstream);
+        own += row.in_flight;
+        all += row.report ? row.report->running + row.report->waiting : 0;
+    }
+    if (own > 0)
     {
-        return 0;
+        double const sample = std::clamp(all / own, 1.0, max_all_per_own);
+        all_per_own_ += mean_gain * (sample - all_per_own_);
     }
-    // Slots free up evenly over the time that a stream holds one.
-    double const held = default_output_tokens * row.profile.ms_per_output_token;
-    return (load - 1) * held + held / std::max(1u, row.profile.slots);
 }
 
 void router::on_sent(time_point now, attempt_id attempt,
@@ -278,6 +325,7 @@
     }
     attempt_row& sent = place->second;
     sent.upstream = picked.upstream;
+    sent.sent_at = now;
     sent.uncached_tokens = uncached;
     sent.predicted_cached_tokens = static_cast<std::uint32_t>(
         cache_.predicted_blocks(picked.upstream, what.prefix) *
@@ -285,13 +333,7 @@
     ++row.in_flight;
     sent_work& own = work_at(picked.upstream);
     own.awaiting_tokens += uncached;
-    own.tokens_since_report += uncached;
-    ++own.attempts_since_report;
-    own.recent.push_back({now, uncached});
-    if (own.recent.size() > max_recent)
-    {
-        drop_oldest(own);
-    }
+    add_change(own, {now, uncached, 1});
     cache_.on_sent(picked.upstream, what.prefix);
 }
 
@@ -314,7 +356,7 @@
     }
 }
 
-void router::on_end(attempt_id attempt, upstream_table& table)
+void router::on_end(time_point now, attempt_id attempt, upstream_table& table)
 {
     auto const known = attempts_.find(attempt);
     if (known == attempts_.end())
@@ -322,10 +364,27 @@
         return;
     }
     on_first_token(attempt, std::nullopt);
-    --table.row(known->second.upstream).in_flight;
+    attempt_row const& ended = known->second;
+    --table.row(ended.upstream).in_flight;
+    sent_work& own = work_at(ended.upstream);
+    add_change(own, {now, 0, -1});
+    double const held = millis_between(ended.sent_at, now);
+    double const gain = own.mean_hold_ms == 0 ? 1 : mean_gain;
+    own.mean_hold_ms += gain * (held - own.mean_hold_ms);
     attempts_.erase(known);
 }
 
+void router::add_change(sent_work& own, recent_change const& change)
+{
+    own.recent.push_back(change);
+    own.tokens_since_report += change.tokens;
+    own.in_flight_since_report += change.in_flight;
+    if (own.recent.size() > max_recent)
+    {
+        drop_oldest(own);
+    }
+}
+
 void router::on_report(upstream_index upstream, upstream_report const& report,
                        upstream_table& table)
 {
@@ -336,8 +395,7 @@
     }
     row.report = report;
     sent_work& own = work_at(upstream);
-    while (!own.recent.empty() &&
-           own.recent.front().sent_at <= report.measured_at)
+    while (!own.recent.empty() && own.recent.front().at <= report.measured_at)
     {
         drop_oldest(own);
     }
@@ -346,7 +404,7 @@
 void router::drop_oldest(sent_work& own)
 {
     own.tokens_since_report -= own.recent.front().tokens;
-    --own.attempts_since_report;
+    own.in_flight_since_report -= own.recent.front().in_flight;
     own.recent.pop_front();
 }
 
@@ -362,7 +420,7 @@
     sent_work& own = work_at(upstream);
     own.recent.clear();
     own.tokens_since_report = 0;
-    own.attempts_since_report = 0;
+    own.in_flight_since_report = 0;
 }
 
 router::sent_work& router::work_at(upstream_index upstream)
--- a/src/core/routing.hpp
+++ b/src/core/routing.hpp
@@ -5,11 +5,16 @@
 // work queued at the upstream, the wait for a free slot, and the prefill of
 // the part of the prompt that its cache lacks; to it come a price weight that
 // grows with the class's slack and a penalty beyond the class's target.
-// The queue is taken from the upstream's last report, worked off for the time
-// since, plus what this VM has sent since the report's measurement, and is
-// never below what this VM itself has in flight. Prefix affinity is bounded:
-// an upstream whose load is above `affinity_load_bound` times the mean of the
-// candidates counts as holding nothing.
+// Load and queue are taken from the upstream's last report, worked off for the
+// time since, plus what was sent since the report's measurement: by this VM as
+// it knows, and by the other VMs as if a part of them (`herd_share`) did the
+// same, because they see the same reports. They are never below what this VM
+// itself has in flight. The wait for a slot is the expectation under an error
+// of that estimate which grows with the report's age, so an upstream costs
+// more already before it is full.
+// Prefix affinity is bounded: an upstream whose load is above
+// `affinity_load_bound` times the mean of the candidates counts as holding
+// nothing.
 // Upstreams that do not take work, or run another version than the request's,
 // are never candidates, whatever the strategy.
 //
@@ -22,7 +27,7 @@
 //     auto picked = router.choose(now, features, table, exclusions);
 //     router.on_sent(now, attempt, features, *picked, table);
 //     router.on_first_token(attempt, cached_tokens); // if any
-//     router.on_end(attempt, table); // always once, however it ended
+//     router.on_end(now, attempt, table); // always once, however it ended
 #ifndef AMARANTHARCH_CORE_ROUTING_HPP
 #define AMARANTHARCH_CORE_ROUTING_HPP
 
@@ -109,7 +114,9 @@
     std::uint64_t seed = 1; // of this VM; differs between VMs
     std::size_t max_candidates = 40;
     std::size_t home_candidates = 8;
-    double affinity_load_bound = 2.0;
+    double affinity_load_bound = 1.3;
+    // Share of the other VMs' choices that are expected to equal ours.
+    double herd_share = 0.5;
     // A home without the prefix is preferred as if it held this share of it.
     double home_discount = 0.2;
     std::array<class_routing, request_class_count> classes{
@@ -137,7 +144,7 @@
                         std::optional<std::uint32_t> cached_tokens);
 
     // Ignores attempts that it does not know, also repeated ends.
-    void on_end(attempt_id attempt, upstream_table& table);
+    void on_end(time_point now, attempt_id attempt, upstream_table& table);
 
     // Ignores reports older than the known one.
     void on_report(upstream_index upstream, upstream_report const& report,
@@ -161,15 +168,18 @@
     struct attempt_row
     {
         upstream_index upstream = 0;
+        time_point sent_at;
         std::uint32_t uncached_tokens = 0;
         std::uint32_t predicted_cached_tokens = 0;
         bool first_token_seen = false;
     };
 
-    struct recent_attempt
+    // An attempt of this VM that began or ended.
+    struct recent_change
     {
-        time_point sent_at;
-        std::uint32_t tokens;
+        time_point at;
+        std::uint32_t tokens; // uncached, if it began
+        int in_flight;        // +1 or -1
     };
 
     // This VM's own work at one upstream.
@@ -177,11 +187,13 @@
     {
         // Uncached tokens of attempts that have no first token yet.
         std::uint64_t awaiting_tokens = 0;
-        // Attempts sent after the known report was measured, and their sums.
+        // Changes after the known report was measured, and their sums.
         // Without reports only the newest max_recent are kept.
-        std::deque<recent_attempt> recent;
+        std::deque<recent_change> recent;
         std::uint64_t tokens_since_report = 0;
-        std::uint32_t attempts_since_report = 0;
+        int in_flight_since_report = 0;
+        // Time that an attempt holds a slot, mean over the last ones; 0: none.
+        double mean_hold_ms = 0;
     };
 
     struct candidate
@@ -215,8 +227,13 @@
     void collect_candidates(time_point now, request_features const& what,
                             upstream_table const& table,
                             std::vector<upstream_index> const& exclusions);
+    double requests_at(upstream_index upstream, upstream_row const& row) const;
     double load_of(upstream_index upstream, upstream_row const& row) const;
-    double slot_wait_ms(upstream_index upstream, upstream_row const& row) const;
+    double slot_wait_ms(time_point now, upstream_index upstream,
+                        upstream_row const& row) const;
+    double fleet_factor() const;
+    void learn_fleet_size(upstream_table const& table);
+    void add_change(sent_work& own, recent_change const& change);
     choice describe(time_point now, request_features const& what,
                     upstream_table const& table, upstream_index upstream,
                     bool affinity) const;
@@ -230,6 +247,9 @@
     std::vector<candidate> candidates_; // of the decision being made
     std::uint64_t turns_ = 0;           // decisions of round_robin
     std::vector<sent_work> sent_;       // by upstream
+    // Requests of all VMs at the candidates for each of this VM's, mean over
+    // the last decisions.
+    double all_per_own_ = 1;
     absl::flat_hash_map<attempt_id, attempt_row> attempts_;
 };
 
--- a/src/core/routing_test.cpp
+++ b/src/core/routing_test.cpp
@@ -138,7 +138,7 @@
     auto const first = chooser.choose(start, what, table, {});
     chooser.on_sent(start, 1, what, *first, table);
     chooser.on_first_token(1, 0);
-    chooser.on_end(1, table);
+    chooser.on_end(start, 1, table);
     auto const second = chooser.choose(start, what, table, {});
     BOOST_TEST(second->upstream == first->upstream);
     BOOST_TEST(second->predicted_cached_tokens == what.prompt_tokens);
@@ -187,9 +187,9 @@
     // Never below what this VM itself still waits for.
     BOOST_TEST(chooser.queued_tokens(start + seconds(10), 0, table.row(0)) ==
                2'000);
-    chooser.on_end(1, table);
-    chooser.on_end(1, table); // a repeated end is ignored
-    chooser.on_end(2, table);
+    chooser.on_end(start, 1, table);
+    chooser.on_end(start, 1, table); // a repeated end is ignored
+    chooser.on_end(start, 2, table);
     BOOST_TEST(chooser.queued_tokens(start + seconds(10), 0, table.row(0)) ==
                0);
     BOOST_TEST(table.row(0).in_flight == 0u);
