--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -4,9 +4,19 @@
 
 #include <QHostAddress>
 #include <QTcpSocket>
+#include <QTimer>
 
-#include <map>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <list>
 #include <optional>
+#include <unordered_map>
+#include <vector>
 
 namespace amarantharch
 {
@@ -14,222 +24,622 @@
 namespace
 {
 
-constexpr std::uint32_t response_header_bytes = 64 * 1024;
-
 using response_parser = http::response_parser<http::string_body>;
+using steady_clock = std::chrono::steady_clock;
+using steady_time = steady_clock::time_point;
+
+constexpr std::chrono::milliseconds sweep_interval{20};
+// Interim answers (1xx) that one request may get.
+constexpr int interim_answers = 16;
+constexpr int status_switching_protocols = 101;
+constexpr int first_final_status = 200;
+
+enum class phase : std::uint8_t
+{
+    connecting,
+    head, // the request is being written or awaits its answer's head
+    body, // the answer's head is reported
+};
+
+// Tells a closed from a reset connection, which Qt reports alike: holds a
+// second descriptor of the socket, whose state can be read after the end.
+class connection_state
+{
+public:
+    explicit connection_state(QTcpSocket const& socket)
+        : descriptor_(::dup(static_cast<int>(socket.socketDescriptor())))
+    {
+    }
+
+    ~connection_state()
+    {
+        ::close(descriptor_);
+    }
+
+    connection_state(connection_state const&) = delete;
+    connection_state& operator=(connection_state const&) = delete;
+
+    // True if the other end closed its side in order.
+    bool is_closed_in_order() const
+    {
+        tcp_info info{};
+        socklen_t size = sizeof info;
+        return ::getsockopt(descriptor_, IPPROTO_TCP, TCP_INFO, &info, &size) ==
+                   0 &&
+               info.tcpi_state == TCP_CLOSE_WAIT;
+    }
+
+private:
+    int descriptor_;
+};
 
 struct exchange_row
 {
     QTcpSocket* socket = nullptr;
     std::string address;
-    std::string wire; // the request until it is written
-    std::string input;
+    std::string wire; // the request until it is handed to the socket
+    input_buffer input;
     std::unique_ptr<response_parser> parser;
-    bool written = false;
-    bool head_reported = false;
+    http_timeouts timeouts;
+    phase state = phase::connecting;
+    std::optional<steady_time> deadline; // of `state`
+    bool head_request = false;
+    bool taken = false; // the kernel has taken a byte of the request
+    bool paused = false;
+    int interims = 0;
+    bool ended = false; // the connection did; last bytes may be unread
+    // Set for an answer whose body ends with the connection.
+    std::unique_ptr<connection_state> connection;
+};
+
+struct idle_row
+{
+    std::string address;
+    QTcpSocket* socket;
+    steady_time expires;
+};
+
+struct endpoint
+{
+    QHostAddress host;
+    quint16 port;
 };
 
+// The parts of ip:port or [ip6]:port; nothing if it is malformed.
+std::optional<endpoint> parse_endpoint(std::string const& address)
+{
+    auto const colon = address.rfind(':');
+    if (colon == std::string::npos)
+    {
+        return std::nullopt;
+    }
+    std::string host = address.substr(0, colon);
+    if (host.starts_with('[') && host.ends_with(']'))
+    {
+        host = host.substr(1, host.size() - 2);
+    }
+    bool is_number = false;
+    quint16 const port =
+        QString::fromStdString(address.substr(colon + 1)).toUShort(&is_number);
+    endpoint result{QHostAddress(QString::fromStdString(host)), port};
+    if (!is_number || port == 0 || result.host.isNull())
+    {
+        return std::nullopt;
+    }
+    return result;
+}
+
+// True if the upstream has neither closed nor said anything on an idle
+// connection. Looks at the kernel's state, since Qt's may lag behind it.
+bool is_usable(QTcpSocket const& socket)
+{
+    char byte = 0;
+    auto const got = ::recv(static_cast<int>(socket.socketDescriptor()), &byte,
+                            1, MSG_PEEK | MSG_DONTWAIT);
+    return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+std::optional<steady_time> after(steady_time now, duration timeout)
+{
+    if (timeout == duration::zero())
+    {
+        return std::nullopt;
+    }
+    return now + timeout;
+}
+
+std::string_view timeout_reason(phase state)
+{
+    switch (state)
+    {
+    case phase::connecting:
+        return "connect_timeout";
+    case phase::head:
+        return "head_timeout";
+    case phase::body:
+        break;
+    }
+    return "piece_timeout";
+}
+
+std::string_view loss_reason(phase state)
+{
+    switch (state)
+    {
+    case phase::connecting:
+        return "connect_failed";
+    case phase::head:
+        return "connection_lost";
+    case phase::body:
+        break;
+    }
+    return "answer_cut";
+}
+
 } // namespace
 
 class http_client::impl
 {
 public:
-    explicit impl(http_client_handlers handlers)
-        : handlers_(std::move(handlers))
+    impl(http_client_handlers handlers, http_client_limits limits)
+        : handlers_(std::move(handlers)), limits_(limits)
     {
+        sweep_timer_.setInterval(sweep_interval);
+        QObject::connect(&sweep_timer_, &QTimer::timeout, &context_,
+                         [this] { sweep(steady_clock::now()); });
+        sweep_timer_.start();
     }
 
     ~impl()
     {
         for (auto const& [id, row] : rows_)
         {
-            discard(row.socket);
+            if (row.socket != nullptr)
+            {
+                discard(row.socket);
+            }
         }
-        for (auto const& [address, socket] : idle_)
+        for (idle_row const& row : idle_)
         {
-            discard(socket);
+            discard(row.socket);
         }
     }
 
+    // -- Requests
+
     void send(exchange_id exchange, std::string const& address,
-              call const& request)
+              call const& request, http_timeouts const& timeouts,
+              steady_time now)
     {
         exchange_row& row = rows_[exchange];
         row.address = address;
+        row.timeouts = timeouts;
+        row.head_request = request.method == "HEAD";
         row.wire = serialize_request(request, address);
+        expect_answer(row);
+        row.socket = take_idle(address);
+        if (row.socket != nullptr)
+        {
+            watch(exchange, row.socket);
+            write(row, now);
+        }
+        else
+        {
+            connect(exchange, row, now);
+        }
+    }
+
+    void expect_answer(exchange_row& row) const
+    {
         row.parser = std::make_unique<response_parser>();
         row.parser->eager(true);
-        row.parser->header_limit(response_header_bytes);
+        row.parser->header_limit(limits_.header_bytes);
         row.parser->body_limit(boost::none);
-        row.parser->skip(request.method == "HEAD");
-        row.socket = take_idle(address);
-        bool const fresh = row.socket == nullptr;
-        if (fresh)
+        row.parser->skip(row.head_request);
+    }
+
+    void connect(exchange_id exchange, exchange_row& row, steady_time now)
+    {
+        auto const target = parse_endpoint(row.address);
+        if (!target)
         {
-            row.socket = new QTcpSocket;
+            QMetaObject::invokeMethod(
+                &context_, [this, exchange] { fail(exchange, "bad_address"); },
+                Qt::QueuedConnection);
+            return;
         }
+        row.socket = new QTcpSocket(&context_);
+        row.socket->setReadBufferSize(
+            static_cast<qint64>(limits_.read_buffer_bytes));
+        row.deadline = after(now, row.timeouts.connect);
         watch(exchange, row.socket);
-        fresh ? connect(exchange, row) : write(row);
+        QObject::connect(row.socket, &QTcpSocket::connected, row.socket,
+                         [this, exchange]
+                         { write(rows_.at(exchange), steady_clock::now()); });
+        // Queued, since a refusal by this machine is reported at once.
+        QMetaObject::invokeMethod(
+            row.socket,
+            [this, exchange, socket = row.socket, target = *target]
+            { start_connecting(exchange, socket, target); },
+            Qt::QueuedConnection);
     }
 
-    void connect(exchange_id exchange, exchange_row& row)
+    void start_connecting(exchange_id exchange, QTcpSocket* socket,
+                          endpoint const& target)
     {
-        auto const colon = row.address.rfind(':');
-        QHostAddress const host(
-            QString::fromStdString(row.address.substr(0, colon)));
-        quint16 const port =
-            QString::fromStdString(row.address.substr(colon + 1)).toUShort();
-        QObject::connect(row.socket, &QTcpSocket::connected, row.socket,
-                         [this, exchange] { write(rows_.at(exchange)); });
-        row.socket->connectToHost(host, port);
+        auto const found = rows_.find(exchange);
+        if (found != rows_.end() && found->second.socket == socket)
+        {
+            socket->connectToHost(target.host, target.port);
+        }
     }
 
-    static void write(exchange_row& row)
+    // Hands the request to the socket; the event loop gives it to the kernel.
+    static void write(exchange_row& row, steady_time now)
     {
+        row.state = phase::head;
+        row.deadline = after(now, row.timeouts.head);
         row.socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
         row.socket->write(row.wire.data(),
                           static_cast<qint64>(row.wire.size()));
-        row.written = true;
         row.wire.clear();
+        row.wire.shrink_to_fit();
     }
 
     void watch(exchange_id exchange, QTcpSocket* socket)
     {
         QObject::connect(socket, &QTcpSocket::readyRead, socket,
                          [this, exchange] { read(exchange); });
+        QObject::connect(socket, &QTcpSocket::bytesWritten, socket,
+                         [this, exchange] { rows_.at(exchange).taken = true; });
         QObject::connect(socket, &QTcpSocket::errorOccurred, socket,
-                         [this, exchange](QAbstractSocket::SocketError)
-                         { broken(exchange); });
+                         [this, exchange] { broken(exchange); });
     }
 
+    // -- Answers
+
     void read(exchange_id exchange)
     {
-        exchange_row& row = rows_.at(exchange);
+        auto const found = rows_.find(exchange);
+        if (found == rows_.end() || found->second.paused)
+        {
+            return;
+        }
+        exchange_row& row = found->second;
         QByteArray const bytes = row.socket->readAll();
         row.input.append(bytes.constData(),
                          static_cast<std::size_t>(bytes.size()));
-        boost::beast::error_code error;
+        // An answer before the request's first byte cannot be one to it, but
+        // shows nothing about what the upstream did; assume the worse.
+        row.taken = row.taken || !bytes.isEmpty();
+        if (!parse(row))
+        {
+            fail(exchange, "malformed_answer");
+            return;
+        }
+        report(exchange, steady_clock::now());
+    }
+
+    // Feeds the parser; false if the answer is malformed.
+    bool parse(exchange_row& row) const
+    {
         while (!row.input.empty() && !row.parser->is_done())
         {
-            std::size_t const used =
-                row.parser->put(boost::asio::buffer(row.input), error);
-            row.input.erase(0, used);
+            boost::beast::error_code error;
+            std::string_view const bytes = row.input.view();
+            std::size_t const used = row.parser->put(
+                boost::asio::buffer(bytes.data(), bytes.size()), error);
+            row.input.consume(used);
+            if (error && error != http::error::need_more)
+            {
+                return false;
+            }
+            if (row.parser->is_header_done() && !skip_interim(row))
+            {
+                return false;
+            }
             if (error)
             {
                 break;
             }
         }
-        if (error && error != http::error::need_more)
+        return true;
+    }
+
+    // Starts anew after an interim answer; false if there is one too many.
+    bool skip_interim(exchange_row& row) const
+    {
+        unsigned const status = row.parser->get().result_int();
+        if (status >= first_final_status)
         {
-            fail(exchange, "malformed_answer");
-            return;
+            return true;
+        }
+        if (status == status_switching_protocols ||
+            ++row.interims > interim_answers)
+        {
+            return false;
         }
-        report(exchange);
+        expect_answer(row);
+        return true;
     }
 
-    // Reports what the parser has taken in since the last report.
-    void report(exchange_id exchange)
+    // Reports what the parser has taken in since the last report. Handlers
+    // may cancel the exchange or pause it, so it is looked up after each.
+    void report(exchange_id exchange, steady_time now)
     {
-        exchange_row& row = rows_.at(exchange);
-        if (row.parser->is_header_done() && !row.head_reported)
+        report_head(exchange, now);
+        report_piece(exchange, now);
+        exchange_row* const row = active(exchange);
+        if (row != nullptr && row->parser->is_done())
+        {
+            finish(exchange, now);
+        }
+    }
+
+    // The row of an exchange that is in progress and not paused.
+    exchange_row* active(exchange_id exchange)
+    {
+        auto const found = rows_.find(exchange);
+        return found == rows_.end() || found->second.paused ? nullptr
+                                                            : &found->second;
+    }
+
+    void report_head(exchange_id exchange, steady_time now)
+    {
+        exchange_row* const row = active(exchange);
+        if (row == nullptr || row->state == phase::body ||
+            !row->parser->is_header_done())
         {
-            row.head_reported = true;
-            auto const& message = row.parser->get();
-            handlers_.head(exchange, static_cast<int>(message.result_int()),
-                           end_to_end_headers<false>(message));
+            return;
         }
-        if (!rows_.contains(exchange))
+        row->state = phase::body;
+        row->deadline = after(now, row->timeouts.piece);
+        auto const& message = row->parser->get();
+        if (row->parser->need_eof() && !row->parser->is_done())
+        {
+            row->connection = std::make_unique<connection_state>(*row->socket);
+        }
+        handlers_.head(exchange, static_cast<int>(message.result_int()),
+                       end_to_end_headers<false>(message));
+    }
+
+    void report_piece(exchange_id exchange, steady_time now)
+    {
+        exchange_row* const row = active(exchange);
+        if (row == nullptr || row->state != phase::body)
         {
             return;
         }
-        std::string body = std::exchange(row.parser->get().body(), {});
-        bool const done = row.parser->is_done();
+        std::string body = std::exchange(row->parser->get().body(), {});
         if (!body.empty())
         {
+            row->deadline = after(now, row->timeouts.piece);
             handlers_.piece(exchange, std::move(body));
         }
-        if (done && rows_.contains(exchange))
-        {
-            finish(exchange);
-        }
     }
 
-    void finish(exchange_id exchange)
+    void finish(exchange_id exchange, steady_time now)
     {
         auto node = rows_.extract(exchange);
         exchange_row& row = node.mapped();
         row.socket->disconnect();
-        if (row.parser->keep_alive() && row.input.empty())
-        {
-            keep(row.address, row.socket);
-        }
-        else
-        {
-            discard(row.socket);
-        }
+        bool const reusable =
+            row.parser->keep_alive() && row.input.empty() && !row.ended &&
+            row.socket->state() == QAbstractSocket::ConnectedState &&
+            row.socket->bytesToWrite() == 0 &&
+            row.socket->bytesAvailable() == 0;
+        reusable ? keep(row.address, row.socket, now) : discard(row.socket);
         handlers_.end(exchange);
     }
 
     void broken(exchange_id exchange)
     {
         exchange_row& row = rows_.at(exchange);
-        boost::beast::error_code error;
-        if (row.parser->is_header_done())
+        row.ended = true;
+        if (!row.paused)
         {
-            row.parser->put_eof(error); // ends a body framed by close
+            conclude(exchange);
         }
-        if (!error && row.parser->is_done())
+    }
+
+    // After the connection's end: takes the last bytes, then decides whether
+    // the answer is whole.
+    void conclude(exchange_id exchange)
+    {
+        read(exchange);
+        exchange_row* const row = active(exchange);
+        if (row == nullptr)
         {
-            report(exchange);
             return;
         }
-        fail(exchange, row.written ? "connection_lost" : "connect_failed");
+        boost::beast::error_code error = http::error::partial_message;
+        if (row->connection && row->connection->is_closed_in_order())
+        {
+            row->parser->put_eof(error); // ends a body framed by closing
+        }
+        if (!error && row->parser->is_done())
+        {
+            report(exchange, steady_clock::now());
+            return;
+        }
+        fail(exchange, loss_reason(row->state));
     }
 
-    void fail(exchange_id exchange, std::string const& reason)
+    void fail(exchange_id exchange, std::string_view reason)
     {
         auto node = rows_.extract(exchange);
+        if (node.empty())
+        {
+            return;
+        }
         exchange_row const& row = node.mapped();
-        discard(row.socket);
-        handlers_.failed(exchange,
-                         row.written ? verdict::may_have_run : verdict::not_run,
-                         reason);
+        verdict const run = run_verdict(row);
+        if (row.socket != nullptr)
+        {
+            discard(row.socket);
+        }
+        handlers_.failed(exchange, run, std::string(reason));
+    }
+
+    static verdict run_verdict(exchange_row const& row)
+    {
+        return row.taken ? verdict::may_have_run : verdict::not_run;
     }
 
     void cancel(exchange_id exchange)
     {
         auto node = rows_.extract(exchange);
-        if (!node.empty())
+        if (!node.empty() && node.mapped().socket != nullptr)
         {
             discard(node.mapped().socket);
         }
     }
 
+    // -- Back-pressure
+
+    void pause(exchange_id exchange)
+    {
+        auto const found = rows_.find(exchange);
+        if (found != rows_.end())
+        {
+            found->second.paused = true;
+        }
+    }
+
+    void resume(exchange_id exchange, steady_time now)
+    {
+        auto const found = rows_.find(exchange);
+        if (found == rows_.end() || !found->second.paused)
+        {
+            return;
+        }
+        exchange_row& row = found->second;
+        row.paused = false;
+        row.deadline = row.state == phase::body ? after(now, row.timeouts.piece)
+                                                : row.deadline;
+        QMetaObject::invokeMethod(
+            &context_, [this, exchange] { continue_reading(exchange); },
+            Qt::QueuedConnection);
+    }
+
+    void continue_reading(exchange_id exchange)
+    {
+        exchange_row const* const row = active(exchange);
+        if (row == nullptr)
+        {
+            return;
+        }
+        row->ended ? conclude(exchange) : read(exchange);
+    }
+
+    // -- Pooled connections, oldest first
+
     QTcpSocket* take_idle(std::string const& address)
     {
-        auto const found = idle_.find(address);
-        if (found == idle_.end())
+        while (true)
         {
-            return nullptr;
+            auto const found = std::find_if(idle_.rbegin(), idle_.rend(),
+                                            [&](idle_row const& row)
+                                            { return row.address == address; });
+            if (found == idle_.rend())
+            {
+                return nullptr;
+            }
+            QTcpSocket* const socket = found->socket;
+            remove_idle(std::prev(found.base()));
+            if (is_usable(*socket))
+            {
+                socket->disconnect();
+                return socket;
+            }
+            discard(socket);
         }
-        QTcpSocket* const socket = found->second;
-        idle_.erase(found);
-        socket->disconnect();
-        return socket;
     }
 
-    void keep(std::string const& address, QTcpSocket* socket)
+    void remove_idle(std::list<idle_row>::iterator row)
     {
-        idle_.emplace(address, socket);
-        QObject::connect(socket, &QTcpSocket::disconnected, socket,
-                         [this, socket] { forget_idle(socket); });
+        auto const count = idle_of_address_.find(row->address);
+        if (--count->second == 0)
+        {
+            idle_of_address_.erase(count);
+        }
+        idle_.erase(row);
+    }
+
+    void keep(std::string const& address, QTcpSocket* socket, steady_time now)
+    {
+        idle_.push_back({address, socket, now + limits_.idle_lifetime});
+        if (++idle_of_address_[address] > limits_.idle_connections_per_address)
+        {
+            close_oldest(address);
+        }
+        if (idle_.size() > limits_.idle_connections)
+        {
+            close_idle(idle_.begin());
+        }
+        auto const close = [this, socket]
+        {
+            forget_idle(socket);
+        };
+        QObject::connect(socket, &QTcpSocket::disconnected, socket, close);
+        // Bytes that no request asked for: the connection is of no use.
+        QObject::connect(socket, &QTcpSocket::readyRead, socket, close);
+    }
+
+    void close_oldest(std::string const& address)
+    {
+        close_idle(std::find_if(idle_.begin(), idle_.end(),
+                                [&](idle_row const& row)
+                                { return row.address == address; }));
+    }
+
+    void close_idle(std::list<idle_row>::iterator row)
+    {
+        QTcpSocket* const socket = row->socket;
+        remove_idle(row);
+        discard(socket);
     }
 
     void forget_idle(QTcpSocket* socket)
     {
-        std::erase_if(idle_, [socket](auto const& entry)
-                      { return entry.second == socket; });
-        socket->deleteLater();
+        auto const found = std::find_if(idle_.begin(), idle_.end(),
+                                        [socket](idle_row const& row)
+                                        { return row.socket == socket; });
+        if (found != idle_.end())
+        {
+            close_idle(found);
+        }
+    }
+
+    // -- Timeouts
+
+    void sweep(steady_time now)
+    {
+        while (!idle_.empty() && now >= idle_.front().expires)
+        {
+            close_idle(idle_.begin());
+        }
+        std::vector<exchange_id> due;
+        for (auto const& [exchange, row] : rows_)
+        {
+            if (row.deadline && now >= *row.deadline && !row.paused)
+            {
+                due.push_back(exchange);
+            }
+        }
+        for (exchange_id const exchange : due)
+        {
+            expire(exchange, now);
+        }
+    }
+
+    void expire(exchange_id exchange, steady_time now)
+    {
+        exchange_row const* const row = active(exchange);
+        if (row != nullptr && row->deadline && now >= *row->deadline)
+        {
+            fail(exchange, timeout_reason(row->state));
+        }
     }
 
     static void discard(QTcpSocket* socket)
@@ -239,22 +649,28 @@
         socket->deleteLater();
     }
 
+    QObject context_; // parent of the sockets and of queued calls
+    QTimer sweep_timer_;
     http_client_handlers handlers_;
-    std::map<exchange_id, exchange_row> rows_;
-    std::multimap<std::string, QTcpSocket*> idle_;
+    http_client_limits limits_;
+    std::unordered_map<exchange_id, exchange_row> rows_;
+    std::list<idle_row> idle_;
+    // How many rows of idle_ each address has.
+    std::unordered_map<std::string, std::size_t> idle_of_address_;
 };
 
-http_client::http_client(http_client_handlers handlers)
-    : impl_(std::make_unique<impl>(std::move(handlers)))
+http_client::http_client(http_client_handlers handlers,
+                         http_client_limits limits)
+    : impl_(std::make_unique<impl>(std::move(handlers), limits))
 {
 }
 
 http_client::~http_client() = default;
 
 void http_client::send(exchange_id exchange, std::string const& address,
-                       call const& request)
+                       call const& request, http_timeouts const& timeouts)
 {
-    impl_->send(exchange, address, request);
+    impl_->send(exchange, address, request, timeouts, steady_clock::now());
 }
 
 void http_client::cancel(exchange_id exchange)
@@ -262,4 +678,24 @@
     impl_->cancel(exchange);
 }
 
+void http_client::pause(exchange_id exchange)
+{
+    impl_->pause(exchange);
+}
+
+void http_client::resume(exchange_id exchange)
+{
+    impl_->resume(exchange, steady_clock::now());
+}
+
+std::size_t http_client::in_progress() const
+{
+    return impl_->rows_.size();
+}
+
+std::size_t http_client::idle_connections() const
+{
+    return impl_->idle_.size();
+}
+
 } // namespace amarantharch
--- a/src/net/http_parser.hpp
+++ b/src/net/http_parser.hpp
@@ -1,8 +1,9 @@
-// Incremental HTTP/1.1 message parsing over Boost.Beast's codec.
+// Incremental HTTP/1.1 message parsing over Boost.Beast's codec, and the
+// wire forms of heads.
 //
-// The parser is fed whatever bytes arrived and reports the head, the body's
-// pieces and the end as they become known. Beast's string body is drained
-// after each feed, so memory is bounded by one read, not by the message.
+// Fields that concern one connection only are never passed on, and a field
+// whose value holds a line break is dropped, so that a message from one side
+// cannot forge a message to the other.
 #ifndef AMARANTHARCH_NET_HTTP_PARSER_HPP
 #define AMARANTHARCH_NET_HTTP_PARSER_HPP
 
@@ -21,35 +22,68 @@
 
 namespace http = boost::beast::http;
 
-// The fields of `message`, less those that concern one connection only.
+// True for fields that end at the next hop, such as Connection.
+bool is_hop_by_hop(http::field field);
+
+// True if `value`'s comma-separated list holds `token`, ignoring case.
+bool lists_token(std::string_view value, std::string_view token);
+
+// The fields of `message`, less those that concern one connection only and
+// those that its Connection field names.
 template <bool IsRequest>
 header_list end_to_end_headers(http::header<IsRequest> const& message)
 {
+    std::string const connection(message[http::field::connection]);
     header_list fields;
     for (auto const& field : message)
     {
-        switch (field.name())
+        std::string name(field.name_string());
+        if (!is_hop_by_hop(field.name()) && !lists_token(connection, name))
         {
-        case http::field::connection:
-        case http::field::keep_alive:
-        case http::field::proxy_connection:
-        case http::field::te:
-        case http::field::trailer:
-        case http::field::transfer_encoding:
-        case http::field::content_length:
-        case http::field::upgrade:
-            break;
-        default:
-            fields.push_back(
-                {std::string(field.name_string()), std::string(field.value())});
+            fields.push_back({std::move(name), std::string(field.value())});
         }
     }
     return fields;
 }
 
-// The `Content-Length`-framed or chunk-framed wire form of a request.
+// "Name: value" lines. Leaves out hop-by-hop fields, whose place is with the
+// connection's owner, and fields that hold a control character.
+std::string serialize_headers(header_list const& headers);
+
+// "HTTP/1.1 200 OK" and its line end.
+std::string status_line(int status);
+
+// The `Content-Length`-framed wire form of a request.
 std::string serialize_request(call const& request, std::string_view host);
 
+// Bytes received and not yet parsed. Taking from the front costs amortized
+// O(1) a byte: the space is reclaimed when at least half of it is used up.
+class input_buffer
+{
+public:
+    void append(char const* data, std::size_t size)
+    {
+        bytes_.append(data, size);
+    }
+
+    std::string_view view() const
+    {
+        return std::string_view(bytes_).substr(begin_);
+    }
+
+    bool empty() const
+    {
+        return begin_ == bytes_.size();
+    }
+
+    void consume(std::size_t size);
+    void clear();
+
+private:
+    std::string bytes_;
+    std::size_t begin_ = 0; // <= bytes_.size()
+};
+
 } // namespace amarantharch
 
 #endif
