--- a/src/core/configuration.cpp
+++ b/src/core/configuration.cpp
@@ -369,6 +369,20 @@
         return value;
     }
 
+    // A SHA-256 digest as 64 lower-case hex digits.
+    std::string digest(std::string_view key)
+    {
+        constexpr std::size_t digits = 64;
+        auto value = text(key);
+        bool const hex =
+            value.find_first_not_of("0123456789abcdef") == std::string::npos;
+        if (!value.empty() && (value.size() != digits || !hex))
+        {
+            fault(key, "expected 64 lower-case hex digits of a SHA-256");
+        }
+        return value;
+    }
+
     label_map labels()
     {
         label_map all;
@@ -513,7 +527,7 @@
         organisation_row row;
         row.name = name;
         row.weight = reader.number("weight", 0.001, 1000, row.weight);
-        row.credential = reader.text("credential");
+        row.key_digest = reader.digest("key_digest");
         row.labels = reader.labels();
         row.labels["organisation"] = name;
         tables().organisations.push_back(std::move(row));
@@ -563,7 +577,7 @@
     {
         constexpr std::int64_t max_capacity = 1'000'000;
         constexpr std::int64_t missing_capacity = 16;
-        upstream_row row;
+        configured_upstream row;
         row.name = name;
         row.address = reader.address("address");
         row.service = service(reader);
@@ -735,31 +749,6 @@
     return compiler(sections).run();
 }
 
-site to_site(configuration const& tables)
-{
-    site result;
-    for (auto const& row : tables.routes)
-    {
-        auto const& service = tables.services[row.service];
-        result.routes.push_back({row.name, row.path, service.name, service.kind,
-                                 service.idempotent, row.timeout,
-                                 static_cast<std::uint8_t>(row.priority)});
-    }
-    for (auto const& row : tables.organisations)
-    {
-        result.organisations.push_back({row.name, row.weight, row.credential});
-    }
-    for (auto const& row : tables.upstreams)
-    {
-        auto const& service = tables.services[row.service];
-        result.upstreams.push_back(
-            {row.name, row.address, service.name, service.kind, row.version,
-             row.failure_domain, static_cast<std::uint32_t>(row.capacity),
-             row.price, row.reclaimable});
-    }
-    return result;
-}
-
 selection select(configuration const& tables, selector const& which)
 {
     return {names_selected(tables.organisations, which),
--- a/src/core/configuration.hpp
+++ b/src/core/configuration.hpp
@@ -6,7 +6,7 @@
 // resolved, all faults of content at once. publish, check and every reader of
 // the log run the same code, so a revision is valid everywhere or nowhere.
 //
-//     [organisation NAME]  weight, credential, label.X
+//     [organisation NAME]  weight, key_digest, label.X
 //     [service NAME]       kind = engine|plain, idempotent = yes|no,
 //                          repeat_window_ms, first_token_ms, between_tokens_ms,
 //                          retry_ratio, label.X
@@ -82,6 +82,7 @@
 {
     section_kind kind = section_kind::limits;
     std::string name; // empty for limits
+    // NOLINTNEXTLINE(modernize-use-nullptr): false alarm on its rewritten uses
     auto operator<=>(section_id const&) const = default;
 };
 
@@ -113,7 +114,7 @@
 {
     std::string name;
     double weight = 1;
-    std::string credential; // bearer token of its callers
+    std::string key_digest; // hex SHA-256 of its callers' bearer token
     label_map labels;       // with organisation
 };
 
@@ -190,10 +191,6 @@
 
 compiled_configuration compile(section_table const& sections);
 
-// The tables that a node decides by. Routes keep every organisation's access:
-// route_row::organisations is checked by the caller of match_route.
-site to_site(configuration const& tables);
-
 // Whom a selector selects, for a dry run; names in order.
 struct selection
 {
--- a/src/core/configuration_store.cpp
+++ b/src/core/configuration_store.cpp
@@ -365,8 +365,7 @@
         }
     }
     std::ranges::sort(changed);
-    auto const rest = std::ranges::unique(changed);
-    changed.erase(rest.begin(), rest.end());
+    changed.erase(std::unique(changed.begin(), changed.end()), changed.end());
     return changed;
 }
 
--- a/src/core/configuration_test.cpp
+++ b/src/core/configuration_test.cpp
@@ -12,7 +12,7 @@
 
 std::string const whole_text = R"([organisation ward-office]
 weight = 2
-credential = secret
+key_digest = 0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef
 label.tier = gold
 [organisation canton]
 [service drafts]
@@ -88,7 +88,7 @@
 BOOST_AUTO_TEST_CASE(becomes_a_nodes_site)
 {
     auto const compiled = compile(parse_configuration(whole_text).sections);
-    auto const tables = to_site(compiled.tables);
+    auto const tables = site_of(compiled.tables);
     BOOST_CHECK_EQUAL(tables.routes[0].service, "desk");
     BOOST_CHECK(!tables.routes[0].idempotent);
     BOOST_CHECK(tables.upstreams[0].kind == upstream_kind::engine);
@@ -169,7 +169,10 @@
          "its section"},
         {"[organisation a]\ncolour = red",
          "line 2, column 10: [organisation a] colour: expected one of "
-         "credential, weight"},
+         "key_digest, weight"},
+        {"[organisation a]\nkey_digest = abc",
+         "line 2, column 14: [organisation a] key_digest: expected 64 "
+         "lower-case hex digits of a SHA-256"},
         {"[service s]\nidempotent = maybe",
          "line 2, column 14: [service s] idempotent: expected yes or no, "
          "found \"maybe\""},
--- a/src/core/log.hpp
+++ b/src/core/log.hpp
@@ -48,6 +48,7 @@
 {
     log_offset offset = 0;
     std::uint32_t index = 0;
+    // NOLINTNEXTLINE(modernize-use-nullptr): false alarm on its rewritten uses
     auto operator<=>(log_position const&) const = default;
 };
 
--- a/src/core/log_client_test.cpp
+++ b/src/core/log_client_test.cpp
@@ -54,7 +54,7 @@
             return append_not_sent{request.token};
         }
         auto const before = std::exchange(delayed, {});
-        auto const result = append_once(request, fault);
+        auto result = append_once(request, fault);
         for (auto const& bytes : before)
         {
             store(bytes);
--- a/src/core/site.cpp
+++ b/src/core/site.cpp
@@ -10,8 +10,6 @@
 namespace
 {
 
-constexpr std::uint32_t default_capacity = 16;
-
 absl::string_view absl_view(std::string_view text)
 {
     return {text.data(), text.size()};
@@ -34,12 +32,6 @@
     return difference == 0;
 }
 
-upstream_kind kind_of(service_kind kind)
-{
-    return kind == service_kind::engine ? upstream_kind::engine
-                                        : upstream_kind::plain;
-}
-
 route_spec route_of(configuration const& tables, route_row const& route)
 {
     service_row const& service = tables.services[route.service];
@@ -47,8 +39,10 @@
     result.name = route.name;
     result.prefix = route.path;
     result.service = service.name;
-    result.kind = kind_of(service.kind);
+    result.kind = service.kind;
     result.idempotent = service.idempotent;
+    result.timeout = route.timeout;
+    result.priority = static_cast<std::uint8_t>(route.priority);
     return result;
 }
 
@@ -60,13 +54,12 @@
     result.name = upstream.name;
     result.address = upstream.address;
     result.service = service.name;
-    result.kind = kind_of(service.kind);
+    result.kind = service.kind;
     result.version = upstream.version;
     result.failure_domain = upstream.failure_domain;
     result.price = upstream.price;
-    result.capacity = upstream.concurrency > 0
-                          ? static_cast<std::uint32_t>(upstream.concurrency)
-                          : default_capacity;
+    result.capacity = static_cast<std::uint32_t>(upstream.capacity);
+    result.reclaimable = upstream.reclaimable;
     return result;
 }
 
