--- a/src/core/configuration.hpp
+++ b/src/core/configuration.hpp
@@ -82,6 +82,7 @@
 {
     section_kind kind = section_kind::limits;
     std::string name; // empty for limits
+    // NOLINTNEXTLINE(modernize-use-nullptr): false alarm on its rewritten uses
     auto operator<=>(section_id const&) const = default;
 };
 
@@ -190,10 +191,6 @@
 
 compiled_configuration compile(section_table const& sections);
 
-// The tables that a node decides by. Routes keep every organisation's access:
-// route_row::organisations is checked by the caller of match_route.
-site to_site(configuration const& tables);
-
 // Whom a selector selects, for a dry run; names in order.
 struct selection
 {
--- a/src/core/request_path.cpp
+++ b/src/core/request_path.cpp
@@ -475,9 +475,9 @@
     return found == attempts_.end() ? nullptr : &rows_.at(found->second);
 }
 
-void request_path::end_attempt(time_point, row& r)
+void request_path::end_attempt(time_point now, row& r)
 {
-    router_.on_end(r.attempt, upstreams_);
+    router_.on_end(now, r.attempt, upstreams_);
     attempts_.erase(r.attempt);
     r.attempt = 0;
 }
--- a/src/core/site.cpp
+++ b/src/core/site.cpp
@@ -1,5 +1,7 @@
 #include "core/site.hpp"
 
+#include "core/configuration.hpp"
+
 #include <absl/strings/match.h>
 
 namespace amarantharch
@@ -30,6 +32,37 @@
     return difference == 0;
 }
 
+route_spec route_of(configuration const& tables, route_row const& route)
+{
+    service_row const& service = tables.services[route.service];
+    route_spec result;
+    result.name = route.name;
+    result.prefix = route.path;
+    result.service = service.name;
+    result.kind = service.kind;
+    result.idempotent = service.idempotent;
+    result.timeout = route.timeout;
+    result.priority = static_cast<std::uint8_t>(route.priority);
+    return result;
+}
+
+upstream_spec upstream_of(configuration const& tables,
+                          configured_upstream const& upstream)
+{
+    service_row const& service = tables.services[upstream.service];
+    upstream_spec result;
+    result.name = upstream.name;
+    result.address = upstream.address;
+    result.service = service.name;
+    result.kind = service.kind;
+    result.version = upstream.version;
+    result.failure_domain = upstream.failure_domain;
+    result.price = upstream.price;
+    result.capacity = static_cast<std::uint32_t>(upstream.capacity);
+    result.reclaimable = upstream.reclaimable;
+    return result;
+}
+
 } // namespace
 
 route_spec const* match_route(site const& tables, std::string_view target)
@@ -77,4 +110,23 @@
     return std::nullopt;
 }
 
+site site_of(configuration const& tables)
+{
+    site result;
+    for (auto const& organisation : tables.organisations)
+    {
+        result.organisations.push_back(
+            {organisation.name, organisation.weight, organisation.key_digest});
+    }
+    for (auto const& route : tables.routes)
+    {
+        result.routes.push_back(route_of(tables, route));
+    }
+    for (auto const& upstream : tables.upstreams)
+    {
+        result.upstreams.push_back(upstream_of(tables, upstream));
+    }
+    return result;
+}
+
 } // namespace amarantharch
