--- a/src/core/ledger.cpp
+++ b/src/core/ledger.cpp
@@ -49,6 +49,14 @@
             retry_soon};
 }
 
+// Whether the record says something that holds also once its VM is gone: that
+// nothing ran, or what came of it. The others ask for a right of the VM.
+bool outlives_vm(ledger_record const& record)
+{
+    return std::holds_alternative<outcome_record>(record) ||
+           std::holds_alternative<release_record>(record);
+}
+
 } // namespace
 
 ledger::ledger(ledger_options options, ledger_sink emit)
@@ -251,7 +259,7 @@
     }
     if (batch.first_retained > table_.next())
     {
-        restart(batch.first_retained);
+        restart(now, batch.first_retained);
     }
     begun_ = true;
     applied_at_ = now;
@@ -276,32 +284,40 @@
         {
             settle(now, *value, effect);
         }
+        else if (effect == record_effect::won)
+        {
+            lose_to_other(header->key);
+        }
+        settle_adopted(*value, effect);
     }
     table_.advance(batch.next);
 }
 
 // Forgets what was decided before `origin`, which this VM has not read and
-// never will. What it runs goes on; what it has not been told it may run, it
-// never runs.
-void ledger::restart(log_offset origin)
+// never will. What it runs goes on; a right that it may have obtained unread
+// it never uses, and gives back.
+void ledger::restart(time_point now, log_offset origin)
 {
     table_.begin(origin);
     open_.clear();
-    deciding_.clear();
+    std::vector<std::pair<record_header, bool>> rights;
     for (auto own = own_.begin(); own != own_.end();)
     {
-        bool const decides =
-            !std::holds_alternative<outcome_record>(own->second.record) &&
-            !std::holds_alternative<release_record>(own->second.record);
-        if (decides)
+        auto const next = std::next(own);
+        auto const& record = own->second.record;
+        if (!outlives_vm(record))
         {
             give_up(own->second);
-            own = own_.erase(own);
-        }
-        else
-        {
-            ++own;
+            bool const asynchronous =
+                !std::holds_alternative<intent_record>(record);
+            rights.emplace_back(*header_of(record), asynchronous);
+            forget(own);
         }
+        own = next;
+    }
+    for (auto& [header, asynchronous] : rights)
+    {
+        release(now, std::move(header), asynchronous);
     }
 }
 
@@ -360,6 +376,39 @@
     holds ? won(now, own) : lost(own);
 }
 
+// Another VM obtained the key: this VM's own attempt at it can win no more,
+// and must not be emitted again with a newer basis, by which time the key's
+// row may have expired.
+void ledger::lose_to_other(request_key const& key)
+{
+    auto const deciding = deciding_.find(key);
+    if (deciding == deciding_.end())
+    {
+        return;
+    }
+    auto found = own_.lower_bound({deciding->second, 0});
+    while (outlives_vm(found->second.record))
+    {
+        ++found;
+    }
+    auto const own = found->second;
+    forget(found);
+    lost(own);
+}
+
+void ledger::settle_adopted(ledger_record const& record, record_effect effect)
+{
+    auto const found = adopted_.find({header_of(record)->run, record.index()});
+    bool const recorded = effect == record_effect::won ||
+                          effect == record_effect::repeated ||
+                          (effect == record_effect::lost &&
+                           std::holds_alternative<outcome_record>(record));
+    if (found != adopted_.end() && recorded)
+    {
+        adopted_.erase(found);
+    }
+}
+
 void ledger::won(time_point now, own_record const& own)
 {
     auto const& header = *header_of(own.record);
@@ -478,9 +527,7 @@
 {
     auto const& header = *header_of(record);
     own_key const key{header.run.sequence, record.index()};
-    bool const decides = !std::holds_alternative<outcome_record>(record) &&
-                         !std::holds_alternative<release_record>(record);
-    if (decides)
+    if (!outlives_vm(record))
     {
         deciding_[header.key] = key.sequence;
     }
@@ -531,6 +578,10 @@
         ask_log_time(now);
         resend(now);
     }
+    if (stop_by_)
+    {
+        hand_over_unsettled(now);
+    }
     if (reachable_ && ready())
     {
         record_runs_again(now);
@@ -543,15 +594,21 @@
 void ledger::stop(time_point now, time_point deadline)
 {
     stop_by_ = deadline;
+    std::vector<record_header> starts;
     for (auto own = own_.begin(); own != own_.end();)
     {
         auto const next = std::next(own);
         if (std::holds_alternative<start_record>(own->second.record))
         {
+            starts.push_back(*header_of(own->second.record));
             forget(own);
         }
         own = next;
     }
+    for (auto& header : starts)
+    {
+        release(now, std::move(header), true);
+    }
     for (auto const& [key, open] : open_)
     {
         auto const* row = table_.find(key);
@@ -561,6 +618,40 @@
                     true);
         }
     }
+    hand_over_unsettled(now);
+}
+
+absl::Status ledger::adopt(time_point now,
+                           std::vector<std::string> const& records)
+{
+    if (adopted_.size() + records.size() > options_.max_unsettled)
+    {
+        return absl::ResourceExhaustedError("too many adopted records");
+    }
+    std::vector<ledger_record> values;
+    for (auto const& record : records)
+    {
+        auto value = decode_ledger_record(record);
+        if (!value.ok())
+        {
+            return value.status();
+        }
+        if (!outlives_vm(*value))
+        {
+            return absl::InvalidArgumentError("not a record to hand over");
+        }
+        values.push_back(*std::move(value));
+    }
+    for (auto& value : values)
+    {
+        auto const key = std::pair(header_of(value)->run, value.index());
+        adopted_.try_emplace(key, own_record{std::move(value),
+                                             {},
+                                             now + options_.window,
+                                             time_point::min(),
+                                             0});
+    }
+    return absl::OkStatus();
 }
 
 bool ledger::ready() const
@@ -573,17 +664,51 @@
     return own_.empty() && runs_.empty();
 }
 
+bool ledger::resend_due(time_point now, own_record const& own) const
+{
+    auto const doublings =
+        std::clamp(own.emissions - 1, 0, max_resend_doublings);
+    return own.emissions == 0 ||
+           now - own.emitted >= options_.resend_interval * (1 << doublings);
+}
+
 void ledger::resend(time_point now)
 {
     for (auto& [key, own] : own_)
     {
-        auto const doublings =
-            std::clamp(own.emissions - 1, 0, max_resend_doublings);
-        if (now - own.emitted >= options_.resend_interval * (1 << doublings))
+        if (resend_due(now, own))
         {
             emit_own(now, own);
         }
     }
+    for (auto& [key, own] : adopted_)
+    {
+        if (ready() && resend_due(now, own))
+        {
+            emit_own(now, own);
+        }
+    }
+}
+
+void ledger::hand_over_unsettled(time_point now)
+{
+    if (handed_over_at_ && now - *handed_over_at_ < options_.resend_interval)
+    {
+        return;
+    }
+    hand_over message;
+    for (auto const& [key, own] : own_)
+    {
+        if (outlives_vm(own.record))
+        {
+            message.records.push_back(encode(own.record));
+        }
+    }
+    if (!message.records.empty())
+    {
+        handed_over_at_ = now;
+        emit_(std::move(message));
+    }
 }
 
 void ledger::give_up_late(time_point now)
@@ -598,6 +723,8 @@
         }
         own = next;
     }
+    std::erase_if(adopted_, [now](auto const& entry)
+                  { return entry.second.deadline <= now; });
 }
 
 void ledger::record_runs_again(time_point now)
--- a/src/core/ledger.hpp
+++ b/src/core/ledger.hpp
@@ -63,7 +63,9 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <variant>
+#include <vector>
 
 namespace amarantharch
 {
@@ -149,8 +151,16 @@
     refusal why;
 };
 
+// Send `records` to one or two peers in other failure domains, who pass them
+// to adopt(): this VM is leaving and may not see them recorded. Repeated until
+// they are; duplicates are harmless.
+struct hand_over
+{
+    std::vector<std::string> records; // encoded
+};
+
 using ledger_effect = std::variant<append_record, run_request, accepted_reply,
-                                   known_reply, refused_reply>;
+                                   known_reply, refused_reply, hand_over>;
 
 using ledger_sink = std::function<void(ledger_effect)>;
 
@@ -204,6 +214,11 @@
     // over what others left, forgets what has expired.
     void tick(time_point now);
 
+    // Takes a leaving peer's records, and has them recorded. Fails with
+    // InvalidArgument, taking none, if one is malformed or not of a kind that
+    // is handed over, ResourceExhausted at the limit.
+    absl::Status adopt(time_point now, std::vector<std::string> const& records);
+
     // This VM is to stop: refuses new work and hands over what it has not
     // started. What it runs may be finished until `deadline`.
     void stop(time_point now, time_point deadline);
@@ -294,7 +309,7 @@
     void reply_from(request_id const& request, bool asynchronous,
                     ledger_row const& row);
     void refuse(request_id const& request, refusal why);
-    void restart(log_offset origin);
+    void restart(time_point now, log_offset origin);
     void give_up(own_record const& own);
     void forget(own_table::iterator own);
 
@@ -322,6 +337,11 @@
     std::int64_t log_now_us(time_point now) const;
     duration untouched(time_point now, ledger_row const* row) const;
 
+    void lose_to_other(request_key const& key);
+    void settle_adopted(ledger_record const& record, record_effect effect);
+    bool resend_due(time_point now, own_record const& own) const;
+    void hand_over_unsettled(time_point now);
+
     void resend(time_point now);
     void give_up_late(time_point now);
     void record_runs_again(time_point now);
@@ -342,6 +362,10 @@
     // deciding_[k] == s if and only if own_ has an intent, acceptance or start
     // of sequence s for key k.
     std::map<request_key, std::uint64_t> deciding_;
+    // Records of leaving VMs. A release stays until it has won, as the start
+    // that it gives back may come after it.
+    std::map<std::pair<run_id, std::size_t>, own_record> adopted_;
+    std::optional<time_point> handed_over_at_;
     std::map<run_id, active_run> runs_;
     std::map<request_key, open_request> open_; // rows in state accepted
     std::map<std::string, vm_entry> vms_;
