--- a/src/core/ledger_proof_test.cpp
+++ b/src/core/ledger_proof_test.cpp
@@ -28,7 +28,7 @@
 constexpr std::size_t vm_count = 3;
 constexpr int patience_rounds = 12; // of a caller who hears nothing
 constexpr int ask_again_rounds = 4; // after a refusal
-constexpr int caller_rounds = 30;   // repeats stay within the window
+constexpr duration caller_time = window * 3 / 4; // of a caller who repeats
 constexpr int upstream_rounds = 2;
 constexpr int replace_rounds = 10; // until a killed VM is replaced
 constexpr int suspect_rounds = 6;  // until others take a VM for gone
@@ -142,12 +142,21 @@
     int killed_at = -1;   // at the end of a notice
 };
 
+// Who submits: one caller who repeats until answered, or the test itself.
+enum class submitter
+{
+    caller,
+    test,
+};
+
 // One case: the session, its faults and what was seen.
 class world
 {
 public:
-    world(std::vector<strike> strikes, bool asynchronous)
-        : strikes_(std::move(strikes)), asynchronous_(asynchronous)
+    world(std::vector<strike> strikes, bool asynchronous,
+          submitter from = submitter::caller)
+        : strikes_(std::move(strikes)), asynchronous_(asynchronous),
+          submitter_(from)
     {
         for (std::size_t vm = 0; vm < vm_count; ++vm)
         {
@@ -190,7 +199,8 @@
     {
         auto const id = fmt::format("r{}", submissions_.size());
         submissions_[id] = submission_log{key, vm, round_};
-        first_round_.try_emplace(key, round_);
+        first_time_.try_emplace(key, now_);
+        latest_key_ = key;
         submission what;
         what.request = id;
         what.key = key;
@@ -206,10 +216,19 @@
         vms_[vm].core->submit(now_, std::move(what));
     }
 
-    void cause(fault what)
+    // Submits the latest key again.
+    void repeat(std::size_t vm)
     {
-        constexpr std::size_t entry = 0;
-        constexpr std::size_t other = 1;
+        if (within_window(latest_key_))
+        {
+            submit(vm, latest_key_);
+        }
+    }
+
+    void cause(fault what, std::size_t entry = 0)
+    {
+        std::size_t const other = (entry + 1) % vm_count;
+        std::size_t const third = (entry + 2) % vm_count;
         switch (what)
         {
         case fault::kill_entry:
@@ -236,9 +255,9 @@
             append_fault_ = what;
             return;
         case fault::twin_submission:
-            return submit(other, main_key);
+            return repeat(other);
         case fault::caller_repeats:
-            return submit(2, main_key);
+            return repeat(third);
         case fault::lose_answer:
         case fault::upstream_refuses:
             upstream_fault_ = what;
@@ -309,9 +328,8 @@
 
     bool within_window(request_key const& key) const
     {
-        auto const found = first_round_.find(key);
-        return found == first_round_.end() ||
-               (round_ - found->second < caller_rounds && leapt_since_ < 0);
+        auto const found = first_time_.find(key);
+        return found == first_time_.end() || now_ - found->second < caller_time;
     }
 
     bool running(std::size_t vm) const
@@ -539,11 +557,7 @@
     // One caller asks for main_key until answered.
     void callers()
     {
-        if (leaping_ > 0)
-        {
-            leapt_since_ = round_;
-        }
-        if (strikes_.empty() && random_)
+        if (submitter_ == submitter::test)
         {
             return;
         }
@@ -713,12 +727,9 @@
                  : (final ? told::unknown_for_good : told::may_have_run));
     }
 
-public:
-    bool random_ = false; // the test submits, not the caller above
-
-private:
     std::vector<strike> strikes_;
     bool asynchronous_;
+    submitter submitter_;
     int round_ = 0;
     time_point now_ = from_micros(1'000'000'000);
     std::array<vm_process, vm_count> vms_;
@@ -726,7 +737,6 @@
     log_offset end_ = 1;
     int log_down_until_ = -1;
     int leaping_ = 0;
-    int leapt_since_ = -1;
     bool crashed_ = false;  // some VM died without notice
     bool blackout_ = false; // no VM read the log for longer than it keeps
     time_point last_read_ = now_;
@@ -737,8 +747,9 @@
     std::optional<fault> upstream_fault_;
     std::map<request_key, int> runs_;
     std::set<request_key> started_; // some VM took it, by the log
-    std::map<request_key, int> first_round_;
+    std::map<request_key, time_point> first_time_;
     std::map<request_id, submission_log> submissions_;
+    request_key latest_key_ = main_key;
     std::size_t caller_id_ = 0;
     std::size_t caller_vm_ = 0;
     int caller_round_ = 0;
@@ -847,6 +858,40 @@
     return result;
 }
 
+constexpr std::uint64_t random_sessions = 400;
+constexpr int random_rounds = 600;
+constexpr int healing_rounds = 250;
+constexpr unsigned percent_submits = 30;
+constexpr unsigned percent_faults = 4;
+
+// Several keys, each repeated within its window at any VM; faults at random,
+// then none until all has healed.
+void random_session(world& session, std::uint64_t seed)
+{
+    std::mt19937_64 random(seed);
+    std::array<request_key, 4> keys{};
+    std::uint64_t next_key = 100;
+    for (int round = 0; round < random_rounds; ++round)
+    {
+        if (random() % 100 < percent_submits)
+        {
+            auto& key = keys[random() % keys.size()];
+            if (key.high == 0 || !session.within_window(key))
+            {
+                key = request_key{next_key++, next_key * 7919};
+            }
+            session.submit(random() % vm_count, key);
+        }
+        if (random() % 100 < percent_faults)
+        {
+            auto const& row = fault_names[random() % fault_names.size()];
+            session.cause(row.value, random() % vm_count);
+        }
+        session.run(round + 1);
+    }
+    session.run(random_rounds + healing_rounds);
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(a_request_that_must_not_run_twice)
@@ -899,5 +944,23 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(holds_in_long_random_sessions)
+{
+    for (std::uint64_t seed = 1; seed <= random_sessions; ++seed)
+    {
+        bool const asynchronous = seed % 2 == 0;
+        world session({}, asynchronous, submitter::test);
+        random_session(session, seed);
+        tally result{fmt::format("random session, seed {}", seed)};
+        result.count(session, result.name);
+        if (result.violations() > 0)
+        {
+            result.report();
+        }
+        BOOST_TEST(result.violations() == 0);
+    }
+    fmt::print("proof: random sessions with seeds 1 to {}\n", random_sessions);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 BOOST_AUTO_TEST_SUITE_END()
