--- a/src/bench/policy_bench_world.cpp
+++ b/src/bench/policy_bench_world.cpp
@@ -227,7 +227,8 @@
         what.id = id;
         what.organisation = request.organisation;
         what.priority = request.what.priority;
-        what.tokens = request.what.prompt_tokens + request.output_tokens;
+        what.tokens = charged_tokens(request.what.prompt_tokens,
+                                     request.what.expected_output);
         what.bytes = request.what.prompt_tokens * bytes_per_token;
         what.deadline = now + request_deadline;
         admission_result const decided = door_of(state).fair.offer(now, what);
--- a/src/core/admission.cpp
+++ b/src/core/admission.cpp
@@ -44,8 +44,10 @@
 admission_result admission::offer(time_point now, admission_request const& what)
 {
     admission_result result;
-    auto const lowest = lowest_runnable();
-    if (lowest && what.priority <= *lowest && !queue_.waits(*lowest))
+    learn_activity(now, what.organisation);
+    // What waits is what may not run (see release()), so nobody is overtaken.
+    auto const lowest = lowest_runnable(what.organisation);
+    if (lowest && what.priority <= *lowest)
     {
         start(now, {what.id, what.organisation, what.priority, what.tokens,
                     what.bytes, now, now});
@@ -112,6 +114,7 @@
     }
     running_row const ended = std::move(known->second);
     running_.erase(known);
+    --active_[ended.organisation].in_flight;
     running_others_ -= ended.priority == request_class::interactive ? 0 : 1;
     queue_.add_served(ended.organisation,
                       static_cast<double>(tokens) -
@@ -129,13 +132,12 @@
             {late.id, late.organisation, late.priority, late.tokens, 0, {}});
         result.refused.push_back({late.id, refuse(late.id, "timeout", wait)});
     }
-    while (auto const lowest = lowest_runnable())
+    auto const lowest = [this](std::string const& organisation)
+    {
+        return lowest_runnable(organisation);
+    };
+    while (auto const next = queue_.pop(lowest))
     {
-        auto const next = queue_.pop(*lowest);
-        if (!next)
-        {
-            break;
-        }
         start(now, *next);
         result.run.push_back(next->id);
     }
@@ -186,20 +188,46 @@
     peers_.erase(vm);
 }
 
-std::uint32_t admission::limit_of_others() const
+bool admission::under_share(std::string const& organisation) const
 {
-    double const open = limit() * (1 - options_.interactive_reserve);
-    return std::max(1u, static_cast<std::uint32_t>(open));
+    auto const known = active_.find(organisation);
+    std::uint32_t const own =
+        known == active_.end() ? 0 : known->second.in_flight;
+    double const share = queue_.weight(organisation) /
+                         std::max(active_weight_, queue_.weight(organisation));
+    return own < limit() * share;
 }
 
-std::optional<request_class> admission::lowest_runnable() const
+std::optional<request_class>
+admission::lowest_runnable(std::string const& organisation) const
 {
-    if (in_flight() >= limit())
+    double const open = under_share(organisation)
+                            ? limit()
+                            : limit() * (1 - options_.fair_headroom);
+    if (static_cast<double>(in_flight()) >= std::max(1.0, open))
     {
         return std::nullopt;
     }
-    return running_others_ < limit_of_others() ? request_class::batch
-                                               : request_class::interactive;
+    double const others = open * (1 - options_.interactive_reserve);
+    return running_others_ < std::max(1.0, others) ? request_class::batch
+                                                   : request_class::interactive;
+}
+
+void admission::learn_activity(time_point now, std::string const& organisation)
+{
+    active_[organisation].last_offer = now;
+    active_weight_ = 0;
+    std::erase_if(active_,
+                  [&](auto const& item)
+                  {
+                      organisation_row const& row = item.second;
+                      return row.in_flight == 0 &&
+                             row.last_offer + options_.activity_window < now;
+                  });
+    for (auto const& [name, row] : active_)
+    {
+        active_weight_ += queue_.weight(name);
+    }
 }
 
 duration admission::predicted_wait(admission_request const& what) const
@@ -247,6 +275,7 @@
                           false};
     if (running_.emplace(what.id, row).second)
     {
+        ++active_[what.organisation].in_flight;
         running_others_ += what.priority == request_class::interactive ? 0 : 1;
     }
 }
--- a/src/core/admission.hpp
+++ b/src/core/admission.hpp
@@ -9,8 +9,13 @@
 // a spread of up to half of it derived from the request's id, so that refused
 // callers do not come back together.
 //
-// Part of the limit is kept for interactive requests: no more than the limit
-// less `interactive_reserve` of it may be of other classes.
+// What runs cannot be taken back, so parts of the limit are kept free:
+// `interactive_reserve` of it for interactive requests, and `fair_headroom` for
+// organisations whose requests in flight are below their share, that is the
+// limit by weight among those that offered requests in the last
+// `activity_window`. So one who offers far more than its share finds the
+// headroom closed, and the others find it open. An organisation alone has the
+// whole limit.
 //
 // Shares between VMs: usage() is a cumulative count per organisation, which
 // peers merge by maximum: late, repeated and reordered messages do no harm.
@@ -59,6 +64,8 @@
          {std::chrono::milliseconds(15'000),
           std::chrono::milliseconds(5'000)}}};
     double interactive_reserve = 0.15;
+    double fair_headroom = 0.15;
+    duration activity_window = std::chrono::seconds(10);
     // Share of the first-byte target that the upstreams may take before the
     // concurrency limit counts a request as late; the rest is for the queue.
     double upstream_target_share = 0.5;
@@ -66,12 +73,21 @@
     duration max_retry_after = std::chrono::seconds(60);
 };
 
+// What a request is charged, in output tokens: an engine computes a prompt
+// token for about a sixteenth of the time of an output token.
+constexpr std::uint32_t charged_tokens(std::uint32_t prompt,
+                                       std::uint32_t output)
+{
+    constexpr std::uint32_t prompt_tokens_per_output_token = 16;
+    return prompt / prompt_tokens_per_output_token + output;
+}
+
 struct admission_request
 {
     request_id id;
     std::string organisation;
     request_class priority = request_class::standard;
-    std::uint32_t tokens = 1; // estimated: uncached prompt and output
+    std::uint32_t tokens = 1; // estimate of charged_tokens()
     std::size_t bytes = 0;
     std::optional<time_point> deadline; // the caller's, if it named one
 };
@@ -143,7 +159,8 @@
     // The answer of an admitted request began.
     void on_first(time_point now, request_id const& id);
 
-    // An admitted request ended; `tokens`: what it really used.
+    // An admitted request ended; `tokens`: the charged_tokens() of
+    // what it really used.
     void on_end(time_point now, request_id const& id, std::uint32_t tokens);
 
     admission_release release(time_point now);
@@ -185,8 +202,16 @@
         std::map<std::string, std::uint64_t> served;
     };
 
-    std::uint32_t limit_of_others() const;
-    std::optional<request_class> lowest_runnable() const;
+    struct organisation_row
+    {
+        std::uint32_t in_flight = 0;
+        time_point last_offer;
+    };
+
+    bool under_share(std::string const& organisation) const;
+    std::optional<request_class>
+    lowest_runnable(std::string const& organisation) const;
+    void learn_activity(time_point now, std::string const& organisation);
     duration predicted_wait(admission_request const& what) const;
     duration allowed_wait(time_point now, admission_request const& what) const;
     refusal refuse(request_id const& id, std::string reason,
@@ -198,7 +223,11 @@
     concurrency_limit limit_;
     fair_queue queue_;
     absl::flat_hash_map<request_id, running_row> running_;
-    std::uint32_t running_others_ = 0;            // of these, not interactive
+    std::uint32_t running_others_ = 0; // of these, not interactive
+    // Those that offered a request in the last activity_window or have some
+    // in flight, and the sum of their weights.
+    std::map<std::string, organisation_row> active_;
+    double active_weight_ = 0;
     std::map<std::string, std::uint64_t> served_; // tokens, by organisation
     std::map<std::string, peer_row> peers_;
     // Means over the requests that ended lately; the oldest fade out.
--- a/src/core/admission_test.cpp
+++ b/src/core/admission_test.cpp
@@ -38,6 +38,7 @@
     options.limit.initial = limit;
     options.limit.floor = 1;
     options.interactive_reserve = 0;
+    options.fair_headroom = 0;
     return options;
 }
 
@@ -124,8 +125,14 @@
         drafts += next->priority == request_class::batch ? 1 : 0;
     }
     BOOST_TEST(drafts == 10); // 1 part to 8
-    BOOST_TEST(!queue.waits(request_class::interactive) ==
-               (queue.pop(request_class::interactive) == std::nullopt));
+    // With classes below questions held back, only questions come.
+    int questions = 0;
+    while (queue.pop(request_class::interactive))
+    {
+        ++questions;
+    }
+    BOOST_TEST(questions == 20);
+    BOOST_TEST(queue.size() == 90u);
 }
 
 BOOST_AUTO_TEST_CASE(earns_no_credit_by_idling)
@@ -296,6 +303,42 @@
                     .outcome == admission_outcome::run_now));
 }
 
+// One that offers more than its share leaves room for those that do not.
+BOOST_AUTO_TEST_CASE(keeps_headroom_for_those_under_their_share)
+{
+    admission_options options = options_with_limit(20);
+    options.fair_headroom = 0.2;
+    admission door(options);
+    door.offer(start, asked("l0", "light"));
+    auto const run_now = [&](std::string const& id, std::string const& who)
+    {
+        return door.offer(start, asked(id, who)).outcome ==
+               admission_outcome::run_now;
+    };
+    int heavy = 0;
+    for (int i = 0; i < 30; ++i)
+    {
+        heavy += run_now(fmt::format("h{}", i), "heavy") ? 1 : 0;
+    }
+    BOOST_TEST(heavy == 15); // and 1 of light: four fifths of 20
+    int light = 0;
+    for (int i = 1; i < 10; ++i)
+    {
+        light += run_now(fmt::format("l{}", i), "light") ? 1 : 0;
+    }
+    BOOST_TEST(light == 4);
+    // Alone, it has the whole limit.
+    admission other(options);
+    int alone = 0;
+    for (int i = 0; i < 30; ++i)
+    {
+        auto const result =
+            other.offer(start, asked(fmt::format("h{}", i), "heavy"));
+        alone += result.outcome == admission_outcome::run_now ? 1 : 0;
+    }
+    BOOST_TEST(alone == 20);
+}
+
 // Whatever the order, loss and repetition of messages, the same usage counts
 // once, and a restarted peer's counters start again.
 BOOST_AUTO_TEST_CASE(merges_usage_of_peers_idempotently)
--- a/src/core/fair_queue.cpp
+++ b/src/core/fair_queue.cpp
@@ -35,7 +35,6 @@
     row.waiting_tokens[level] += what.tokens;
     ++requests_;
     bytes_ += what.bytes;
-    ++class_requests_[level];
     row.lanes[level].push_back(std::move(what));
     std::vector<queued_request> given_up;
     while (over_bounds())
@@ -45,20 +44,25 @@
     return given_up;
 }
 
-std::optional<queued_request> fair_queue::pop(request_class lowest)
+std::optional<queued_request> fair_queue::pop(class_filter const& lowest)
 {
-    organisation_row* const row = next_organisation(level_of(lowest));
-    if (row == nullptr)
+    auto const next = next_request(lowest);
+    if (next.row == nullptr)
     {
         return std::nullopt;
     }
-    std::size_t const level = *next_class(*row, level_of(lowest));
-    queued_request taken = take(*row, level, 0);
-    row->counter += taken.tokens / row->weight;
-    row->class_counters[level] += taken.tokens / options_.class_weights[level];
+    queued_request taken = take(*next.row, next.level, 0);
+    next.row->counter += taken.tokens / next.row->weight;
+    next.row->class_counters[next.level] +=
+        taken.tokens / options_.class_weights[next.level];
     return taken;
 }
 
+std::optional<queued_request> fair_queue::pop(request_class lowest)
+{
+    return pop([lowest](std::string const&) { return lowest; });
+}
+
 std::optional<queued_request> fair_queue::remove(request_id const& id)
 {
     for (auto& [name, row] : organisations_)
@@ -163,13 +167,10 @@
     return ahead;
 }
 
-bool fair_queue::waits(request_class lowest) const
+double fair_queue::weight(std::string const& organisation) const
 {
-    std::size_t const classes = level_of(lowest) + 1;
-    return std::any_of(class_requests_.begin(),
-                       class_requests_.begin() +
-                           static_cast<std::ptrdiff_t>(classes),
-                       [](std::size_t count) { return count > 0; });
+    auto const known = organisations_.find(organisation);
+    return known == organisations_.end() ? 1 : known->second.weight;
 }
 
 double fair_queue::lowest_waiting() const
@@ -244,16 +245,24 @@
     return 0;
 }
 
-fair_queue::organisation_row* fair_queue::next_organisation(std::size_t lowest)
+fair_queue::place fair_queue::next_request(class_filter const& lowest)
 {
-    organisation_row* best = nullptr;
+    place best;
     double best_key = std::numeric_limits<double>::infinity();
     for (auto& [name, row] : organisations_)
     {
-        double const key = row.counter - lead_of(row, lowest);
-        if (next_class(row, lowest) && key < best_key)
+        auto const allowed =
+            row.requests > 0 ? lowest(name) : std::optional<request_class>();
+        auto const level = allowed ? next_class(row, level_of(*allowed))
+                                   : std::optional<std::size_t>();
+        if (!level)
+        {
+            continue;
+        }
+        double const key = row.counter - lead_of(row, level_of(*allowed));
+        if (key < best_key)
         {
-            best = &row;
+            best = {&row, *level};
             best_key = key;
         }
     }
@@ -271,7 +280,6 @@
     row.waiting_tokens[level] -= taken.tokens;
     --requests_;
     bytes_ -= taken.bytes;
-    --class_requests_[level];
     return taken;
 }
 
--- a/src/core/fair_queue.hpp
+++ b/src/core/fair_queue.hpp
@@ -34,6 +34,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -58,8 +59,8 @@
     std::size_t max_requests = 10'000;
     std::size_t max_bytes = 16u << 20;
     std::array<double, request_class_count> class_weights{{8, 3, 1}};
-    std::array<double, request_class_count> class_leads{{20'000, 5'000, 0}};
-    double max_lead = 100'000; // tokens
+    std::array<double, request_class_count> class_leads{{3'000, 1'000, 0}};
+    double max_lead = 20'000; // tokens
 };
 
 class fair_queue
@@ -74,7 +75,15 @@
     // `what` itself.
     std::vector<queued_request> push(queued_request what);
 
-    // Takes the next request of classes up to `lowest`, and charges its tokens.
+    // The lowest class of an organisation's requests that may be served now;
+    // nothing if none may.
+    using class_filter = std::function<std::optional<request_class>(
+        std::string const& organisation)>;
+
+    // Takes the next request that may be served, and charges its tokens.
+    std::optional<queued_request> pop(class_filter const& lowest);
+
+    // The same with one lowest class for all organisations.
     std::optional<queued_request> pop(request_class lowest);
 
     // Takes a request out wherever it waits (its caller left).
@@ -107,8 +116,8 @@
     {
         return requests_ == 0;
     }
-    // Whether a request of classes up to `lowest` waits.
-    bool waits(request_class lowest) const;
+    // The organisation's weight.
+    double weight(std::string const& organisation) const;
 
 private:
     using lane = std::deque<queued_request>;
@@ -125,13 +134,19 @@
         std::array<lane, request_class_count> lanes;
     };
 
+    struct place
+    {
+        organisation_row* row = nullptr;
+        std::size_t level = 0;
+    };
+
     double lowest_waiting() const; // counter; infinity if nobody waits
     double lifted(organisation_row const& row) const;
     static void lift_class(organisation_row& row, std::size_t level);
     static std::optional<std::size_t> next_class(organisation_row const& row,
                                                  std::size_t lowest);
     double lead_of(organisation_row const& row, std::size_t lowest) const;
-    organisation_row* next_organisation(std::size_t lowest);
+    place next_request(class_filter const& lowest);
     double own_tokens_ahead(organisation_row const& row, std::size_t level,
                             std::uint32_t tokens) const;
     queued_request take(organisation_row& row, std::size_t level,
@@ -142,7 +157,6 @@
     fair_queue_options options_;
     std::map<std::string, organisation_row> organisations_;
     // Sums over organisations_.
-    std::array<std::size_t, request_class_count> class_requests_{};
     std::size_t requests_ = 0;
     std::size_t bytes_ = 0;
 };
