--- a/src/core/configuration_publish.hpp
+++ b/src/core/configuration_publish.hpp
@@ -67,7 +67,8 @@
     void decided(change_decision const& decision);
 
     // Call on each tick; the report changes until state is refused or in_force.
-    void tick(time_point now, membership const& fleet);
+    // Asks the members that are not known to hold the revision.
+    void tick(time_point now, membership& fleet);
 
     publish_report const& report() const
     {
@@ -77,6 +78,7 @@
 private:
     configuration_change change_;
     time_point give_up_;
+    time_point ask_due_{};
     publish_report report_;
 };
 
--- a/src/core/gossip.hpp
+++ b/src/core/gossip.hpp
@@ -120,8 +120,9 @@
     explicit soft_state(soft_state_options options);
 
     // Writes a row of this VM. The version is `now`, or one more than that of
-    // the row before if the clock has not moved. Returns false if the table is
-    // full or the row changes nothing.
+    // the row before if the clock has not moved. An unchanged value is written
+    // again only after half its lifetime. Returns false if the table is full
+    // or the row changes nothing.
     bool set(time_point now, soft_kind kind, std::string subject,
              std::int64_t value);
 
@@ -197,7 +198,7 @@
     };
 
     bool store(soft_key const& key, std::int64_t version, std::int64_t value);
-    void heat(soft_key const& key, stored& row);
+    void heat(soft_key const& key, stored& row, int sent);
     void cool(soft_key const& key, stored& row);
     row_map::iterator erase(row_map::iterator it);
 
--- /dev/null
+++ b/src/core/membership.cpp
@@ -0,0 +1,878 @@
+#include "core/membership.hpp"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace amarantharch
+{
+
+namespace
+{
+
+// One probe in this many goes to a member thought gone, so that a healed cut
+// is noticed.
+constexpr std::uint64_t probes_per_revival = 10;
+constexpr std::size_t asks_per_tick = 50;
+constexpr std::size_t named_missing = 20;
+constexpr std::size_t relayed_limit = 256;
+constexpr int index_bits = 20;
+// Bytes of a message without updates and rows; it is always affordable.
+constexpr double least_budget = 100;
+
+std::int64_t to_value(log_position revision)
+{
+    return static_cast<std::int64_t>((revision.offset << index_bits) |
+                                     revision.index);
+}
+
+log_position to_revision(std::int64_t value)
+{
+    auto const bits = static_cast<std::uint64_t>(value);
+    return {bits >> index_bits,
+            static_cast<std::uint32_t>(bits & ((1U << index_bits) - 1))};
+}
+
+std::uint64_t rendezvous(std::string_view purpose, std::string_view vm)
+{
+    return XXH3_64bits_withSeed(vm.data(), vm.size(),
+                                XXH3_64bits(purpose.data(), purpose.size()));
+}
+
+member_update update_of(member const& row, bool with_address)
+{
+    member_update update{row.vm, row.incarnation, row.health, row.leaving, {},
+                         {}};
+    if (with_address)
+    {
+        update.address = row.address;
+        update.failure_domain = row.failure_domain;
+    }
+    return update;
+}
+
+} // namespace
+
+member_state member::state() const
+{
+    switch (health)
+    {
+    case member_health::gone:
+        return member_state::gone;
+    case member_health::suspect:
+        return member_state::suspect;
+    case member_health::live:
+        break;
+    }
+    return leaving ? member_state::leaving : member_state::live;
+}
+
+membership::membership(membership_options options)
+    : options_(std::move(options)), random_(options_.seed),
+      state_(soft_state_options{options_.vm}),
+      incarnation_(options_.incarnation), budget_(options_.burst_bytes)
+{
+    heat(options_.vm, true);
+}
+
+member_update membership::own_update() const
+{
+    return {options_.vm, incarnation_,     member_health::live,
+            leaving_,    options_.address, options_.failure_domain};
+}
+
+// ---- What others say. ----
+
+void membership::receive(time_point now, peer_message const& message,
+                         peer_sink const& emit)
+{
+    ++traffic_.messages_received;
+    traffic_.bytes_received += message.payload.size();
+    auto decoded = decode_gossip_message(message.payload);
+    if (!decoded.ok() || decoded->sender.vm != message.vm ||
+        message.vm == options_.vm)
+    {
+        ++traffic_.undecodable;
+        return;
+    }
+    apply(now, decoded->sender, true);
+    note_revision(now, message.vm, decoded->revision);
+    for (auto const& update : decoded->members)
+    {
+        apply(now, update, true);
+    }
+    for (auto const& row : decoded->rows)
+    {
+        auto const* origin = find(row.key.origin);
+        if (origin == nullptr || origin->health != member_health::gone)
+        {
+            state_.merge(now, row);
+        }
+    }
+    answer(now, message, *decoded, emit);
+}
+
+void membership::note_revision(time_point now, std::string const& vm,
+                               log_position revision)
+{
+    auto const found = members_.find(vm);
+    if (found != members_.end())
+    {
+        found->second.revision = std::max(found->second.revision, revision);
+    }
+    if (revision > newest_revision())
+    {
+        state_.set(now, soft_kind::configuration_revision, "",
+                   to_value(revision));
+    }
+}
+
+void membership::answer(time_point now, peer_message const& from,
+                        gossip_message const& message, peer_sink const& emit)
+{
+    switch (message.kind)
+    {
+    case gossip_kind::ping:
+    {
+        gossip_message ack;
+        ack.kind = gossip_kind::ack;
+        ack.sequence = message.sequence;
+        ack.target = options_.vm;
+        send(from.vm, std::move(ack), emit, options_.message_bytes);
+        break;
+    }
+    case gossip_kind::ack:
+        take_ack(from.vm, message, emit);
+        break;
+    case gossip_kind::ping_request:
+        relay_probe(now, from.vm, message, emit);
+        break;
+    case gossip_kind::push:
+        break;
+    }
+}
+
+void membership::take_ack(std::string const& from,
+                          gossip_message const& message, peer_sink const& emit)
+{
+    if (probe_ && probe_->sequence == message.sequence &&
+        (probe_->vm == from || probe_->vm == message.target))
+    {
+        probe_.reset();
+        return;
+    }
+    auto const found = relayed_.find(message.sequence);
+    if (found == relayed_.end() || found->second.target != from)
+    {
+        return;
+    }
+    gossip_message ack;
+    ack.kind = gossip_kind::ack;
+    ack.sequence = found->second.sequence;
+    ack.target = from;
+    ack.members.push_back(message.sender); // its refutation, if it is one
+    auto const asker = found->second.asker;
+    relayed_.erase(found);
+    send(asker, std::move(ack), emit, 0);
+}
+
+void membership::relay_probe(time_point now, std::string const& asker,
+                             gossip_message const& message,
+                             peer_sink const& emit)
+{
+    if (relayed_.size() >= relayed_limit)
+    {
+        return;
+    }
+    gossip_message ping;
+    ping.kind = gossip_kind::ping;
+    ping.sequence = next_sequence_++;
+    relayed_[ping.sequence] = {asker, message.sequence, message.target, now};
+    send(message.target, std::move(ping), emit, 0);
+}
+
+void membership::apply(time_point now, member_update const& update, bool spread)
+{
+    if (update.vm.empty())
+    {
+        return;
+    }
+    if (update.vm == options_.vm)
+    {
+        refute(update);
+        return;
+    }
+    auto found = members_.find(update.vm);
+    if (found == members_.end())
+    {
+        if (update.health != member_health::gone)
+        {
+            add(now, update, spread);
+        }
+        return;
+    }
+    auto& row = found->second;
+    if (update.incarnation < row.incarnation)
+    {
+        return;
+    }
+    bool const newer = update.incarnation > row.incarnation;
+    auto const health =
+        newer ? update.health : std::max(row.health, update.health);
+    bool const leaving =
+        newer ? update.leaving : (row.leaving || update.leaving);
+    bool const news = newer || health != row.health || leaving != row.leaving;
+    row.incarnation = update.incarnation;
+    set_address(now, row, update);
+    set_health(now, row, health, leaving);
+    if (news && spread)
+    {
+        heat(row.vm, newer);
+    }
+}
+
+void membership::add(time_point now, member_update const& update, bool spread)
+{
+    member row;
+    row.vm = update.vm;
+    row.incarnation = update.incarnation;
+    row.health = update.health;
+    row.leaving = update.leaving;
+    row.since = now;
+    auto& added = members_.emplace(update.vm, std::move(row)).first->second;
+    ++fleet_size_;
+    changes_.push_back({update.vm, member_state::gone, added.state()});
+    set_address(now, added, update);
+    // At a random place, so that not all VMs probe it at the same time.
+    auto const place = random_() % (probe_order_.size() + 1);
+    probe_order_.push_back(update.vm);
+    std::swap(probe_order_[place], probe_order_.back());
+    if (spread)
+    {
+        heat(update.vm, true);
+    }
+}
+
+void membership::set_address(time_point now, member& row,
+                             member_update const& update)
+{
+    if (!update.failure_domain.empty())
+    {
+        row.failure_domain = update.failure_domain;
+    }
+    if (update.address.empty() || update.address == row.address)
+    {
+        return;
+    }
+    auto const old = by_address_.find(row.address);
+    if (old != by_address_.end() && old->second == row.vm)
+    {
+        by_address_.erase(old);
+    }
+    row.address = update.address;
+    replace_address_holder(now, row);
+}
+
+// An address belongs to the VM that started last: the other one has gone.
+void membership::replace_address_holder(time_point now, member& newcomer)
+{
+    auto const [holder, added] =
+        by_address_.try_emplace(newcomer.address, newcomer.vm);
+    if (added || holder->second == newcomer.vm)
+    {
+        return;
+    }
+    auto const other = members_.find(holder->second);
+    bool const wins = other == members_.end() ||
+                      other->second.incarnation < newcomer.incarnation;
+    auto& loser = wins && other != members_.end() ? other->second : newcomer;
+    if (wins)
+    {
+        holder->second = newcomer.vm;
+    }
+    if (&loser != &newcomer || !wins)
+    {
+        set_health(now, loser, member_health::gone, loser.leaving);
+        heat(loser.vm, false);
+    }
+}
+
+// Others think ill of this VM: a larger incarnation overrides them.
+void membership::refute(member_update const& update)
+{
+    if (update.incarnation < incarnation_)
+    {
+        return;
+    }
+    if (update.leaving && !leaving_)
+    {
+        leave(); // a notice, which is a fact
+    }
+    if (update.health != member_health::live)
+    {
+        incarnation_ = update.incarnation + 1;
+        heat(options_.vm, false);
+    }
+}
+
+void membership::set_health(time_point now, member& row, member_health health,
+                            bool leaving)
+{
+    auto const before = row.state();
+    bool const was_gone = row.health == member_health::gone;
+    if (health != row.health)
+    {
+        row.since = now;
+    }
+    row.health = health;
+    row.leaving = leaving;
+    bool const is_gone = health == member_health::gone;
+    if (is_gone && !was_gone)
+    {
+        --fleet_size_;
+        state_.forget_origin(row.vm);
+    }
+    if (was_gone && !is_gone)
+    {
+        ++fleet_size_;
+    }
+    if (before != row.state())
+    {
+        changes_.push_back({row.vm, before, row.state()});
+    }
+}
+
+void membership::apply_vm_list(time_point now,
+                               std::vector<listed_member> const& vms)
+{
+    for (auto const& listed : vms)
+    {
+        if (listed.vm != options_.vm && !members_.contains(listed.vm) &&
+            !by_address_.contains(listed.address))
+        {
+            add(now,
+                {listed.vm, 0, member_health::live, false, listed.address,
+                 listed.failure_domain},
+                false);
+        }
+    }
+}
+
+void membership::merge(time_point now,
+                       std::vector<member_update> const& updates)
+{
+    for (auto const& update : updates)
+    {
+        apply(now, update, false);
+    }
+}
+
+// ---- What this VM says. ----
+
+void membership::leave()
+{
+    leaving_ = true;
+    heat(options_.vm, false);
+}
+
+void membership::note_leaving(time_point now, std::string_view vm)
+{
+    auto const found = members_.find(vm);
+    if (found != members_.end() && !found->second.leaving)
+    {
+        set_health(now, found->second, found->second.health, true);
+        heat(found->second.vm, false);
+    }
+}
+
+void membership::set_revision(time_point now, log_position revision)
+{
+    revision_ = std::max(revision_, revision);
+    note_revision(now, options_.vm, revision_);
+}
+
+log_position membership::newest_revision() const
+{
+    auto const value = state_.value(soft_kind::configuration_revision, "");
+    return std::max(revision_, to_revision(value.value_or(0)));
+}
+
+void membership::ask_revisions(log_position revision)
+{
+    asking_.clear();
+    for (auto const& [vm, row] : members_)
+    {
+        if (row.health != member_health::gone && row.revision < revision)
+        {
+            asking_.push_back(vm);
+        }
+    }
+}
+
+membership::revision_holders membership::spread_of(log_position revision) const
+{
+    revision_holders result;
+    result.members = 1;
+    result.in_force = revision_ >= revision ? 1 : 0;
+    for (auto const& [vm, row] : members_)
+    {
+        if (row.health == member_health::gone)
+        {
+            continue;
+        }
+        ++result.members;
+        if (row.revision >= revision)
+        {
+            ++result.in_force;
+        }
+        else if (result.missing.size() < named_missing)
+        {
+            result.missing.push_back(vm);
+        }
+    }
+    return result;
+}
+
+void membership::heat(std::string const& vm, bool with_address)
+{
+    hot_[vm] = {0, with_address};
+}
+
+// Sends as many bytes of updates and rows as the budget allows.
+void membership::send(std::string const& to, gossip_message message,
+                      peer_sink const& emit, std::size_t extra_bytes)
+{
+    message.sender = own_update();
+    message.revision = revision_;
+    auto const* target = find(to);
+    if (target != nullptr && target->health != member_health::live &&
+        target->incarnation > 0)
+    {
+        message.members.push_back(update_of(*target, false)); // to be refuted
+    }
+    fill(message, affordable(extra_bytes), message.kind == gossip_kind::push);
+    emit_message(to, message, emit);
+}
+
+void membership::emit_message(std::string const& to,
+                              gossip_message const& message,
+                              peer_sink const& emit)
+{
+    peer_message out{to, peer_message_kind::membership, encode(message)};
+    ++traffic_.messages_sent;
+    traffic_.bytes_sent += out.payload.size();
+    budget_ -= static_cast<double>(out.payload.size());
+    emit(std::move(out));
+}
+
+std::size_t membership::affordable(std::size_t wanted) const
+{
+    auto const left = budget_ - least_budget;
+    return left <= 0 ? 0 : std::min(wanted, static_cast<std::size_t>(left));
+}
+
+void membership::fill(gossip_message& message, std::size_t bytes,
+                      bool urgent_only)
+{
+    bytes -= fill_members(message, bytes, urgent_only);
+    auto rows = state_.take_hot(bytes, transmissions(), urgent_only);
+    for (auto& row : rows)
+    {
+        bytes -= encoded_size(row);
+        message.rows.push_back(std::move(row));
+    }
+    // A push is for urgent news; the slow walk rides on probes.
+    if (!urgent_only)
+    {
+        fill_repair(message, std::min(bytes, options_.repair_bytes));
+    }
+}
+
+bool membership::is_urgent(std::string const& vm) const
+{
+    if (vm == options_.vm)
+    {
+        return leaving_;
+    }
+    auto const* row = find(vm);
+    return row != nullptr &&
+           (row->leaving || row->health == member_health::gone);
+}
+
+bool membership::has_urgent() const
+{
+    return state_.has_urgent() ||
+           std::ranges::any_of(hot_, [this](auto const& hot)
+                               { return is_urgent(hot.first); });
+}
+
+// The least sent updates first; returns the bytes used.
+std::size_t membership::fill_members(gossip_message& message, std::size_t bytes,
+                                     bool urgent_only)
+{
+    std::vector<std::map<std::string, hot_update>::iterator> order;
+    for (auto it = hot_.begin(); it != hot_.end(); ++it)
+    {
+        if (!urgent_only || is_urgent(it->first))
+        {
+            order.push_back(it);
+        }
+    }
+    std::ranges::sort(order, {}, [](auto it) { return it->second.sent; });
+    std::size_t used = 0;
+    for (auto it : order)
+    {
+        auto const* row = find(it->first);
+        if (row == nullptr && it->first != options_.vm)
+        {
+            hot_.erase(it);
+            continue;
+        }
+        auto update = row == nullptr ? own_update()
+                                     : update_of(*row, it->second.with_address);
+        auto const size = encoded_size(update);
+        if (used + size > bytes)
+        {
+            break;
+        }
+        used += size;
+        message.members.push_back(std::move(update));
+        if (++it->second.sent >= transmissions())
+        {
+            hot_.erase(it);
+        }
+    }
+    return used;
+}
+
+// Alternates between a slow walk over the members and one over the rows.
+void membership::fill_repair(gossip_message& message, std::size_t bytes)
+{
+    repair_rows_ = !repair_rows_;
+    if (repair_rows_)
+    {
+        for (auto& row : state_.take_repair(bytes))
+        {
+            message.rows.push_back(std::move(row));
+        }
+        return;
+    }
+    auto it = members_.lower_bound(repair_cursor_);
+    for (std::size_t left = members_.size(); left > 0; --left)
+    {
+        if (it == members_.end())
+        {
+            it = members_.begin();
+        }
+        auto update = update_of(it->second, true);
+        auto const size = encoded_size(update);
+        if (size > bytes)
+        {
+            break;
+        }
+        bytes -= size;
+        if (update.incarnation > 0)
+        {
+            message.members.push_back(std::move(update));
+        }
+        ++it;
+    }
+    repair_cursor_ = it == members_.end() ? std::string() : it->first;
+}
+
+// ---- What is due. ----
+
+void membership::tick(time_point now, peer_sink const& emit)
+{
+    refill_budget(now);
+    forgive_freeze(now);
+    judge_probe(now, emit);
+    if (now >= probe_due_)
+    {
+        probe_due_ = now + options_.probe_period;
+        start_probe(now, emit);
+        judge_suspects(now);
+        forget_relayed(now);
+        state_.expire(now);
+    }
+    if (now >= push_due_)
+    {
+        push_due_ = now + options_.push_period;
+        push_urgent(emit);
+        ask_next(emit);
+    }
+    ticked_ = now;
+}
+
+void membership::refill_budget(time_point now)
+{
+    if (ticked_ && now > *ticked_)
+    {
+        std::chrono::duration<double> const passed = now - *ticked_;
+        budget_ =
+            std::min(options_.burst_bytes,
+                     budget_ + passed.count() * options_.bytes_per_second);
+    }
+}
+
+// After a pause of this process nobody is judged by answers that may be
+// waiting unread.
+void membership::forgive_freeze(time_point now)
+{
+    if (!ticked_)
+    {
+        std::uniform_int_distribution<duration::rep> phase(
+            0, options_.probe_period.count());
+        probe_due_ = now + duration(phase(random_));
+        return;
+    }
+    auto const gap = now - *ticked_;
+    if (gap < options_.probe_period / 2 && gap >= duration{})
+    {
+        return;
+    }
+    probe_.reset();
+    probe_due_ = now + options_.probe_period;
+    for (auto& [vm, row] : members_)
+    {
+        if (row.health == member_health::suspect)
+        {
+            row.since += gap;
+        }
+    }
+}
+
+void membership::judge_probe(time_point now, peer_sink const& emit)
+{
+    if (!probe_)
+    {
+        return;
+    }
+    if (!probe_->indirect && now - probe_->sent >= options_.probe_timeout)
+    {
+        probe_->indirect = true;
+        for (auto const& vm :
+             random_members(options_.indirect_probes, probe_->vm))
+        {
+            gossip_message request;
+            request.kind = gossip_kind::ping_request;
+            request.sequence = probe_->sequence;
+            request.target = probe_->vm;
+            send(vm, std::move(request), emit, 0);
+        }
+    }
+    if (now - probe_->sent < options_.probe_period)
+    {
+        return;
+    }
+    auto const found = members_.find(probe_->vm);
+    if (found != members_.end() && found->second.health == member_health::live)
+    {
+        set_health(now, found->second, member_health::suspect,
+                   found->second.leaving);
+        if (found->second.incarnation > 0)
+        {
+            heat(found->second.vm, false);
+        }
+    }
+    probe_.reset();
+}
+
+void membership::start_probe(time_point now, peer_sink const& emit)
+{
+    if (probe_)
+    {
+        return; // judged within a tick
+    }
+    ++probes_started_;
+    auto const target = next_target();
+    if (!target)
+    {
+        return;
+    }
+    gossip_message ping;
+    ping.kind = gossip_kind::ping;
+    ping.sequence = next_sequence_++;
+    if (find(*target)->health != member_health::gone)
+    {
+        probe_ = probe{*target, ping.sequence, now, false};
+    }
+    send(*target, std::move(ping), emit, options_.message_bytes);
+}
+
+// Round robin over a shuffle, so that each member is probed within twice as
+// many periods as there are members.
+std::optional<std::string> membership::next_target()
+{
+    bool const revive = probes_started_ % probes_per_revival == 0;
+    for (std::size_t tries = probe_order_.size(); tries > 0; --tries)
+    {
+        if (probe_next_ >= probe_order_.size())
+        {
+            std::ranges::shuffle(probe_order_, random_);
+            probe_next_ = 0;
+        }
+        auto const& vm = probe_order_[probe_next_++];
+        bool const gone = find(vm)->health == member_health::gone;
+        if (gone == revive)
+        {
+            return vm;
+        }
+    }
+    return std::nullopt;
+}
+
+void membership::judge_suspects(time_point now)
+{
+    auto const patience = suspicion();
+    for (auto it = members_.begin(); it != members_.end();)
+    {
+        auto& row = it->second;
+        if (row.health == member_health::suspect && now - row.since >= patience)
+        {
+            set_health(now, row, member_health::gone, row.leaving);
+            if (row.incarnation > 0)
+            {
+                heat(row.vm, false);
+            }
+        }
+        bool const forget = row.health == member_health::gone &&
+                            now - row.since >= options_.forget_after;
+        it = forget ? erase(it) : std::next(it);
+    }
+}
+
+membership::member_map::iterator membership::erase(member_map::iterator it)
+{
+    auto const& row = it->second;
+    auto const held = by_address_.find(row.address);
+    if (held != by_address_.end() && held->second == row.vm)
+    {
+        by_address_.erase(held);
+    }
+    hot_.erase(row.vm);
+    std::erase(probe_order_, row.vm);
+    return members_.erase(it);
+}
+
+void membership::forget_relayed(time_point now)
+{
+    std::erase_if(relayed_, [&](auto const& entry)
+                  { return now - entry.second.sent > options_.probe_period; });
+}
+
+void membership::push_urgent(peer_sink const& emit)
+{
+    if (!has_urgent())
+    {
+        return;
+    }
+    for (auto const& vm : random_members(options_.push_fanout, {}))
+    {
+        if (affordable(options_.message_bytes) < options_.message_bytes ||
+            !has_urgent())
+        {
+            return;
+        }
+        gossip_message push;
+        push.kind = gossip_kind::push;
+        send(vm, std::move(push), emit, options_.message_bytes);
+    }
+}
+
+void membership::ask_next(peer_sink const& emit)
+{
+    auto const budget = budget_;
+    for (std::size_t i = 0; i < asks_per_tick && !asking_.empty(); ++i)
+    {
+        gossip_message ping;
+        ping.kind = gossip_kind::ping;
+        ping.sequence = next_sequence_++;
+        ping.sender = own_update();
+        ping.revision = revision_;
+        emit_message(asking_.back(), ping, emit);
+        asking_.pop_back();
+    }
+    budget_ = budget;
+}
+
+std::vector<std::string> membership::random_members(std::size_t count,
+                                                    std::string_view but)
+{
+    std::vector<std::string> chosen;
+    if (probe_order_.empty())
+    {
+        return chosen;
+    }
+    // A bounded number of draws: repeats and members not live are skipped.
+    auto const draws = count * 4;
+    for (std::size_t i = 0; i < draws && chosen.size() < count; ++i)
+    {
+        auto const& vm = probe_order_[random_() % probe_order_.size()];
+        if (vm != but && find(vm)->health == member_health::live &&
+            std::ranges::find(chosen, vm) == chosen.end())
+        {
+            chosen.push_back(vm);
+        }
+    }
+    return chosen;
+}
+
+int membership::transmissions() const
+{
+    constexpr int extra = 3;
+    auto const spread = std::log(static_cast<double>(fleet_size_) + 1);
+    return static_cast<int>(std::ceil(spread)) + extra;
+}
+
+duration membership::suspicion() const
+{
+    auto const factor =
+        std::max(1.0, std::log10(static_cast<double>(fleet_size_)));
+    auto const micros =
+        static_cast<double>(options_.suspicion_min.count()) * factor;
+    return duration(static_cast<duration::rep>(micros));
+}
+
+// ---- What this VM knows. ----
+
+member const* membership::find(std::string_view vm) const
+{
+    auto const found = members_.find(vm);
+    return found == members_.end() ? nullptr : &found->second;
+}
+
+bool membership::is_among(std::string_view purpose, std::size_t count) const
+{
+    auto const own = rendezvous(purpose, options_.vm);
+    auto const before = std::ranges::count_if(
+        members_,
+        [&](auto const& entry)
+        {
+            return entry.second.state() == member_state::live &&
+                   rendezvous(purpose, entry.first) > own;
+        });
+    return static_cast<std::size_t>(before) < count;
+}
+
+std::vector<member_change> membership::take_changes()
+{
+    return std::exchange(changes_, {});
+}
+
+std::vector<member_update> membership::updates() const
+{
+    std::vector<member_update> all{own_update()};
+    for (auto const& [vm, row] : members_)
+    {
+        if (row.incarnation > 0)
+        {
+            all.push_back(update_of(row, true));
+        }
+    }
+    return all;
+}
+
+} // namespace amarantharch
--- a/src/core/membership.hpp
+++ b/src/core/membership.hpp
@@ -99,6 +99,7 @@
     double bytes_per_second = 1600; // of payloads sent
     double burst_bytes = 12000;
     std::size_t message_bytes = 700; // of updates and rows in one message
+    std::size_t repair_bytes = 250;  // of those, for the slow walk
 };
 
 using peer_sink = std::function<void(peer_message)>;
@@ -147,13 +148,13 @@
     void ask_revisions(log_position revision);
 
     // How many VMs of those not gone hold at least `revision`, this included.
-    struct spread
+    struct revision_holders
     {
         std::size_t in_force = 0;
         std::size_t members = 0;
         std::vector<std::string> missing; // at most 20 names
     };
-    spread spread_of(log_position revision) const;
+    revision_holders spread_of(log_position revision) const;
 
     // All others, by name; the gone stay until they are forgotten.
     std::map<std::string, member, std::less<>> const& members() const
@@ -162,7 +163,7 @@
     }
     // Null if unknown.
     member const* find(std::string_view vm) const;
-    // Members that are live or leaving, this VM included.
+    // Members that are not gone, this VM included.
     std::size_t fleet_size() const
     {
         return fleet_size_;
@@ -211,36 +212,52 @@
         bool with_address = false;
     };
 
+    using member_map = std::map<std::string, member, std::less<>>;
+
     member_update own_update() const;
-    void apply(time_point now, member_update const& update);
+    void apply(time_point now, member_update const& update, bool spread);
+    void add(time_point now, member_update const& update, bool spread);
+    void set_address(time_point now, member& row, member_update const& update);
+    void replace_address_holder(time_point now, member& newcomer);
     void refute(member_update const& update);
-    void replace_address_holder(time_point now, member const& newcomer);
     void set_health(time_point now, member& row, member_health health,
                     bool leaving);
+    void note_revision(time_point now, std::string const& vm,
+                       log_position revision);
     void heat(std::string const& vm, bool with_address);
+    bool is_urgent(std::string const& vm) const;
+    bool has_urgent() const;
+
     void answer(time_point now, peer_message const& from,
                 gossip_message const& message, peer_sink const& emit);
-    void take_ack(gossip_message const& message, peer_sink const& emit);
+    void take_ack(std::string const& from, gossip_message const& message,
+                  peer_sink const& emit);
     void relay_probe(time_point now, std::string const& asker,
                      gossip_message const& message, peer_sink const& emit);
     void send(std::string const& to, gossip_message message,
               peer_sink const& emit, std::size_t extra_bytes);
+    void emit_message(std::string const& to, gossip_message const& message,
+                      peer_sink const& emit);
     void fill(gossip_message& message, std::size_t bytes, bool urgent_only);
-    std::size_t fill_members(gossip_message& message, std::size_t bytes);
+    std::size_t fill_members(gossip_message& message, std::size_t bytes,
+                             bool urgent_only);
     void fill_repair(gossip_message& message, std::size_t bytes);
+
+    void refill_budget(time_point now);
     void forgive_freeze(time_point now);
     void judge_probe(time_point now, peer_sink const& emit);
     void start_probe(time_point now, peer_sink const& emit);
     void judge_suspects(time_point now);
-    void push_urgent(time_point now, peer_sink const& emit);
-    void ask_next(time_point now, peer_sink const& emit);
+    void forget_relayed(time_point now);
+    void push_urgent(peer_sink const& emit);
+    void ask_next(peer_sink const& emit);
     std::optional<std::string> next_target();
     std::vector<std::string> random_members(std::size_t count,
                                             std::string_view but);
+    member_map::iterator erase(member_map::iterator it);
     int transmissions() const;
     duration suspicion() const;
     std::size_t affordable(std::size_t wanted) const;
-    void count_member(member const& row, int by);
 
     membership_options options_;
     std::mt19937_64 random_;
@@ -248,7 +265,8 @@
     std::uint64_t incarnation_;
     bool leaving_ = false;
     log_position revision_;
-    std::map<std::string, member, std::less<>> members_;
+    member_map members_;
+    // The member that holds each address: the one that started last.
     absl::flat_hash_map<std::string, std::string> by_address_;
     std::map<std::string, hot_update> hot_; // updates still to be spread
     std::vector<std::string> probe_order_;  // a shuffle of the members
@@ -261,8 +279,9 @@
     std::optional<time_point> ticked_;
     std::uint64_t probes_started_ = 0;
     std::string repair_cursor_;
+    bool repair_rows_ = false;
     std::vector<std::string> asking_;
-    std::size_t fleet_size_ = 1;
+    std::size_t fleet_size_ = 1; // with this VM, without the gone
     double budget_;
     std::vector<member_change> changes_;
     membership_traffic traffic_;
