--- /dev/null
+++ b/src/app/commands.cpp
@@ -0,0 +1,126 @@
+// The commands that concern one VM's own process and files.
+#include "app/commands.hpp"
+
+#include "app/log.hpp"
+#include "app/server.hpp"
+#include "app/settings.hpp"
+
+#include <QCoreApplication>
+
+#include <fmt/format.h>
+
+namespace amarantharch
+{
+
+namespace
+{
+
+namespace options = boost::program_options;
+
+constexpr std::string_view program_version = "0.1.0";
+
+void add_settings(options::options_description& known)
+{
+    (void)known.add_options()("settings",
+                              options::value<std::string>()->required(),
+                              "the INI file of this VM");
+}
+
+void add_json(options::options_description& known)
+{
+    (void)known.add_options()("json", "print JSON");
+}
+
+std::string as_json(settings_fault const& fault)
+{
+    return fmt::format(R"({{"file":"{}","line":{},"section":"{}","key":"{}",)"
+                       R"("expected":"{}"}})",
+                       json_escape(fault.file), fault.line,
+                       json_escape(fault.section), json_escape(fault.key),
+                       json_escape(fault.expected));
+}
+
+int check(options::variables_map const& given)
+{
+    auto const files = operands_of(given);
+    if (files.empty())
+    {
+        fmt::print(stderr, "amarantharch check: expected a FILE\n");
+        return exit_usage;
+    }
+    bool const json = given.count("json") != 0;
+    std::string rows;
+    std::size_t count = 0;
+    for (std::string const& file : files)
+    {
+        for (settings_fault const& fault : read_settings_file(file).faults)
+        {
+            ++count;
+            rows += json && !rows.empty() ? "," : "";
+            rows += json ? as_json(fault) : to_text(fault) + "\n";
+        }
+    }
+    json ? fmt::print("{{\"faults\":[{}]}}\n", rows) : fmt::print("{}", rows);
+    return count == 0 ? exit_success : exit_fault;
+}
+
+int serve(options::variables_map const& given)
+{
+    auto const chosen = read_settings(given["settings"].as<std::string>());
+    if (!chosen.ok())
+    {
+        fmt::print(stderr, "{}\n", std::string(chosen.status().message()));
+        return exit_fault;
+    }
+    set_log_level(chosen->least_logged);
+    server subject(*chosen);
+    absl::Status const started = subject.start();
+    if (!started.ok())
+    {
+        log(log_level::error, "start_failed",
+            {{"reason", std::string(started.message())}});
+        return exit_fault;
+    }
+    return QCoreApplication::exec();
+}
+
+int version(options::variables_map const& given)
+{
+    given.count("json") != 0
+        ? fmt::print("{{\"version\":\"{}\"}}\n", program_version)
+        : fmt::print("amarantharch {}\n", program_version);
+    return exit_success;
+}
+
+} // namespace
+
+std::vector<command_row> vm_commands()
+{
+    return {
+        {"serve", "",
+         "Run one VM of the fleet.\n"
+         "It reads its settings, listens, and logs JSON lines to standard "
+         "error; the line\n\"listening\" names its ports. SIGTERM and SIGINT "
+         "start a graceful shutdown: new\nrequests are refused, those in "
+         "progress end, and the process exits with 0.",
+         add_settings, serve},
+        {"check", "FILE...",
+         "Check settings files and list every fault.\n"
+         "Each line names file, line, section, key and what was expected. "
+         "Exit status 1 if\nthere is a fault.",
+         add_json, check},
+        {"version", "", "Print the version.", add_json, version},
+    };
+}
+
+std::vector<command_row> all_commands()
+{
+    std::vector<command_row> commands = vm_commands();
+    for (command_row const& row : operator_commands())
+    {
+        commands.push_back(row);
+    }
+    return commands;
+}
+
+} // namespace amarantharch
--- a/src/app/server.cpp
+++ b/src/app/server.cpp
@@ -19,7 +19,7 @@
 std::vector<upstream_entry> entries(settings const& options)
 {
     std::vector<upstream_entry> rows;
-    for (upstream_settings const& upstream : options.upstreams)
+    for (upstream_spec const& upstream : options.tables.upstreams)
     {
         rows.push_back({upstream.name, upstream.address});
     }
--- a/src/app/settings_test.cpp
+++ b/src/app/settings_test.cpp
@@ -69,8 +69,8 @@
      "f.ini:5: [log] address: expected IP:PORT; found \"127.0.0.1:0\""},
     {"[upstream a]\naddress = 127.0.0.1:1\nkind = fast",
      "f.ini:6: [upstream a] kind: expected engine or plain; found \"fast\""},
-    {"[route a]\nidempotent = true",
-     "f.ini:5: [route a] idempotent: expected yes or no; found \"true\""},
+    {"[upstream u]\naddress = 10.0.0.1:1\n[route a]\nidempotent = true",
+     "f.ini:7: [route a] idempotent: expected yes or no; found \"true\""},
     {"[route a]\nservice = desk",
      "f.ini: [route a] service: expected the service of an [upstream]; found "
      "\"desk\""},
@@ -105,6 +105,8 @@
                                 "service = drafts\n"
                                 "[route drafts]\n"
                                 "prefix = /v1\n"
+                                "priority = 9\n"
+                                "kind = engine\n"
                                 "service = drafts\n"
                                 "idempotent = yes\n"
                                 "[organisation school]\n"
@@ -119,11 +121,11 @@
     BOOST_TEST(value.listen_port == 8080);
     BOOST_TEST((value.least_logged == log_level::debug));
     BOOST_TEST(value.limits.idle_timeout.count() == 1'500'000);
-    BOOST_REQUIRE_EQUAL(value.upstreams.size(), 2U);
-    BOOST_TEST((value.upstreams[1].kind == upstream_kind::engine));
-    BOOST_TEST(value.routes[0].idempotent);
-    BOOST_TEST(value.organisations[0].weight == 2.5);
-    BOOST_TEST(value.organisations[0].credential == "Bearer a, b; c");
+    BOOST_REQUIRE_EQUAL(value.tables.upstreams.size(), 2U);
+    BOOST_TEST((value.tables.upstreams[1].kind == upstream_kind::engine));
+    BOOST_TEST(value.tables.routes[0].idempotent);
+    BOOST_TEST(value.tables.organisations[0].weight == 2.5);
+    BOOST_TEST(value.tables.organisations[0].credential == "Bearer a, b; c");
 }
 
 BOOST_AUTO_TEST_SUITE(with_a_fault)
--- a/src/standin/prefix_cache.cpp
+++ b/src/standin/block_cache.cpp
@@ -1,4 +1,4 @@
-#include "standin/prefix_cache.hpp"
+#include "standin/block_cache.hpp"
 
 #include <fmt/format.h>
 
@@ -6,7 +6,7 @@
 
 #include <charconv>
 
-namespace amarantharch
+namespace amarantharch::standin
 {
 
 namespace
@@ -47,9 +47,9 @@
     return whole ? block : 0;
 }
 
-prefix_cache::prefix_cache(prefix_cache_options options) : options_(options) {}
+block_cache::block_cache(block_cache_options options) : options_(options) {}
 
-std::size_t prefix_cache::use(std::vector<block_id> const& blocks)
+std::size_t block_cache::use(std::vector<block_id> const& blocks)
 {
     std::size_t found = 0;
     for (; found < blocks.size(); ++found)
@@ -64,7 +64,7 @@
     return found;
 }
 
-void prefix_cache::store(time_point now, std::vector<block_id> const& blocks)
+void block_cache::store(time_point now, std::vector<block_id> const& blocks)
 {
     for (block_id const block : blocks)
     {
@@ -84,8 +84,8 @@
     }
 }
 
-std::vector<cache_event> prefix_cache::events(time_point now,
-                                              std::uint64_t from) const
+std::vector<cache_event> block_cache::events(time_point now,
+                                             std::uint64_t from) const
 {
     std::vector<cache_event> shown;
     for (cache_event const& event : events_)
@@ -98,7 +98,7 @@
     return shown;
 }
 
-void prefix_cache::add_event(time_point now, bool stored, block_id block)
+void block_cache::add_event(time_point now, bool stored, block_id block)
 {
     std::uint64_t const sequence = next_sequence_++;
     if (options_.lose_every != 0 && sequence % options_.lose_every == 0)
@@ -114,4 +114,4 @@
     events_.push_back({sequence, stored, block, now});
 }
 
-} // namespace amarantharch
+} // namespace amarantharch::standin
--- a/src/standin/prefix_cache.hpp
+++ b/src/standin/block_cache.hpp
@@ -4,8 +4,8 @@
 // A prompt is cut into blocks of block_bytes; a block's id is the hash of its
 // bytes seeded with the id of the block before it, so an id names the whole
 // prefix that ends there. Only whole blocks are cached.
-#ifndef AMARANTHARCH_STANDIN_PREFIX_CACHE_HPP
-#define AMARANTHARCH_STANDIN_PREFIX_CACHE_HPP
+#ifndef AMARANTHARCH_STANDIN_BLOCK_CACHE_HPP
+#define AMARANTHARCH_STANDIN_BLOCK_CACHE_HPP
 
 #include "core/time.hpp"
 
@@ -17,7 +17,7 @@
 #include <unordered_map>
 #include <vector>
 
-namespace amarantharch
+namespace amarantharch::standin
 {
 
 using block_id = std::uint64_t;
@@ -33,7 +33,7 @@
 std::string block_name(block_id block);
 block_id parse_block_name(std::string_view name);
 
-struct prefix_cache_options
+struct block_cache_options
 {
     std::size_t blocks = 4096;
     duration lag = std::chrono::milliseconds(500); // before an event shows
@@ -48,10 +48,10 @@
     time_point at;
 };
 
-class prefix_cache
+class block_cache
 {
 public:
-    explicit prefix_cache(prefix_cache_options options);
+    explicit block_cache(block_cache_options options);
 
     // How many of the first of `blocks` are cached; marks them as used.
     std::size_t use(std::vector<block_id> const& blocks);
@@ -74,13 +74,13 @@
 private:
     void add_event(time_point now, bool stored, block_id block);
 
-    prefix_cache_options options_;
+    block_cache_options options_;
     std::list<block_id> used_; // most recently used first
     std::unordered_map<block_id, std::list<block_id>::iterator> index_;
     std::uint64_t next_sequence_ = 1;
     std::vector<cache_event> events_; // ascending by sequence, with gaps
 };
 
-} // namespace amarantharch
+} // namespace amarantharch::standin
 
 #endif
--- a/src/standin/engine.cpp
+++ b/src/standin/engine.cpp
@@ -1,18 +1,17 @@
 #include "standin/engine.hpp"
 
+#include "core/site.hpp"
 #include "standin/json.hpp"
 
 #include <QJsonArray>
 
-#include <absl/strings/numbers.h>
-
 #include <fmt/format.h>
 
 #include <xxhash.h>
 
 #include <algorithm>
 
-namespace amarantharch
+namespace amarantharch::standin
 {
 
 namespace
@@ -30,12 +29,6 @@
     return QString::fromUtf8(text.data(), static_cast<qsizetype>(text.size()));
 }
 
-std::int64_t header_integer(call const& request, std::string_view name)
-{
-    std::int64_t value = 0;
-    return absl::SimpleAtoi(header_value(request, name), &value) ? value : 0;
-}
-
 // The prompt as the engine hashes it: the text of /v1/completions, or each
 // message as "ROLE: CONTENT" and a line feed.
 std::string prompt_of(QJsonObject const& body)
@@ -149,7 +142,7 @@
         return;
     }
     stream_row row;
-    row.version = header_value(request, "X-Version");
+    row.version = header_value(request.headers, "X-Version");
     if (row.version.empty() && !options_.versions.empty())
     {
         row.version = options_.versions.front();
@@ -167,7 +160,7 @@
         emit(error_reply(exchange, 500, "bad version"));
         return;
     }
-    row.id = header_value(request, "X-Stream-Id");
+    row.id = header_value(request.headers, "X-Stream-Id");
     row.prompt = prompt_of(*body);
     row.first =
         std::max<std::int64_t>(header_integer(request, "X-Resume-From"), 0);
@@ -177,7 +170,7 @@
     row.priority = static_cast<int>(
         std::clamp<std::int64_t>(header_integer(request, "X-Priority"), 0, 9));
     row.streamed = body->value("stream").toBool();
-    std::string const key = header_value(request, "Idempotency-Key");
+    std::string const key(header_value(request.headers, "Idempotency-Key"));
     ++runs_by_key_[key.empty() ? row.id : key];
     ++runs_;
     streams_[exchange] = std::move(row);
@@ -516,4 +509,4 @@
     return affected ? extra + bad->length : extra;
 }
 
-} // namespace amarantharch
+} // namespace amarantharch::standin
--- a/src/standin/engine.hpp
+++ b/src/standin/engine.hpp
@@ -15,8 +15,8 @@
 #ifndef AMARANTHARCH_STANDIN_ENGINE_HPP
 #define AMARANTHARCH_STANDIN_ENGINE_HPP
 
+#include "standin/block_cache.hpp"
 #include "standin/fault_table.hpp"
-#include "standin/prefix_cache.hpp"
 #include "standin/role.hpp"
 
 #include <QJsonObject>
@@ -27,7 +27,7 @@
 #include <string>
 #include <vector>
 
-namespace amarantharch
+namespace amarantharch::standin
 {
 
 // The text of token `index` of the answer to `prompt`.
@@ -45,7 +45,7 @@
     duration prefill_token = std::chrono::microseconds(20);
     duration load_time = std::chrono::milliseconds(200); // of a version
     duration report_lag = std::chrono::milliseconds(500);
-    prefix_cache_options cache{};
+    block_cache_options cache{};
 };
 
 class engine : public role
@@ -109,7 +109,7 @@
 
     engine_options options_;
     fault_table faults_;
-    prefix_cache cache_;
+    block_cache cache_;
     std::uint64_t newest_fence_ = 0;
     std::map<std::string, time_point> loading_; // version: ready at
     // Each stream is in exactly one of running_ and waiting_.
@@ -125,6 +125,6 @@
     std::map<std::string, std::uint64_t> runs_by_key_;
 };
 
-} // namespace amarantharch
+} // namespace amarantharch::standin
 
 #endif
--- a/src/standin/engine_test.cpp
+++ b/src/standin/engine_test.cpp
@@ -10,6 +10,7 @@
 #include <fmt/format.h>
 
 using namespace amarantharch;
+using namespace amarantharch::standin;
 
 namespace
 {
--- a/src/standin/fault_table.cpp
+++ b/src/standin/fault_table.cpp
@@ -4,7 +4,7 @@
 
 #include <QJsonArray>
 
-namespace amarantharch
+namespace amarantharch::standin
 {
 
 namespace
@@ -147,4 +147,4 @@
     emit(std::move(answer));
 }
 
-} // namespace amarantharch
+} // namespace amarantharch::standin
--- a/src/standin/fault_table.hpp
+++ b/src/standin/fault_table.hpp
@@ -15,7 +15,7 @@
 #include <optional>
 #include <string>
 
-namespace amarantharch
+namespace amarantharch::standin
 {
 
 enum class fault_kind : std::uint8_t
@@ -82,6 +82,6 @@
 void emit_or_lose(fault_table& faults, time_point now, whole_reply answer,
                   reply_sink const& emit);
 
-} // namespace amarantharch
+} // namespace amarantharch::standin
 
 #endif
--- a/src/standin/http_front.cpp
+++ b/src/standin/http_front.cpp
@@ -2,7 +2,7 @@
 
 #include <cstdlib>
 
-namespace amarantharch
+namespace amarantharch::standin
 {
 
 namespace
@@ -84,4 +84,4 @@
     std::_Exit(crash_exit_status);
 }
 
-} // namespace amarantharch
+} // namespace amarantharch::standin
--- a/src/standin/http_front.hpp
+++ b/src/standin/http_front.hpp
@@ -15,7 +15,7 @@
 #include <memory>
 #include <vector>
 
-namespace amarantharch
+namespace amarantharch::standin
 {
 
 class http_front
@@ -41,6 +41,6 @@
     reply_sink emit_;
 };
 
-} // namespace amarantharch
+} // namespace amarantharch::standin
 
 #endif
--- a/src/standin/json.cpp
+++ b/src/standin/json.cpp
@@ -1,11 +1,12 @@
 #include "standin/json.hpp"
 
+#include "core/site.hpp"
+
 #include <QJsonDocument>
 
-#include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
 
-namespace amarantharch
+namespace amarantharch::standin
 {
 
 std::optional<QJsonObject> parse_object(std::string const& text)
@@ -91,16 +92,11 @@
     return path.substr(prefix.size());
 }
 
-std::string header_value(call const& request, std::string_view name)
+std::int64_t header_integer(call const& request, std::string_view name)
 {
-    for (header_field const& field : request.headers)
-    {
-        if (absl::EqualsIgnoreCase(field.name, {name.data(), name.size()}))
-        {
-            return field.value;
-        }
-    }
-    return "";
+    std::int64_t value = 0;
+    std::string const text(header_value(request.headers, name));
+    return absl::SimpleAtoi(text, &value) ? value : 0;
 }
 
-} // namespace amarantharch
+} // namespace amarantharch::standin
--- a/src/standin/json.hpp
+++ b/src/standin/json.hpp
@@ -11,7 +11,7 @@
 #include <string>
 #include <string_view>
 
-namespace amarantharch
+namespace amarantharch::standin
 {
 
 // The object in `text`; nothing if it is not one.
@@ -42,9 +42,9 @@
 std::optional<std::string_view> after_prefix(std::string_view path,
                                              std::string_view prefix);
 
-// The value of a header, its name in any case; empty if there is none.
-std::string header_value(call const& request, std::string_view name);
+// The value of a header as an integer; 0 if there is none.
+std::int64_t header_integer(call const& request, std::string_view name);
 
-} // namespace amarantharch
+} // namespace amarantharch::standin
 
 #endif
--- a/src/standin/log_service.cpp
+++ b/src/standin/log_service.cpp
@@ -7,7 +7,7 @@
 #include <algorithm>
 #include <sstream>
 
-namespace amarantharch
+namespace amarantharch::standin
 {
 
 namespace
@@ -238,4 +238,4 @@
     emit(std::move(answer));
 }
 
-} // namespace amarantharch
+} // namespace amarantharch::standin
--- a/src/standin/log_service.hpp
+++ b/src/standin/log_service.hpp
@@ -16,7 +16,7 @@
 #include <map>
 #include <vector>
 
-namespace amarantharch
+namespace amarantharch::standin
 {
 
 struct log_service_options
@@ -102,6 +102,6 @@
     time_point refilled_{};
 };
 
-} // namespace amarantharch
+} // namespace amarantharch::standin
 
 #endif
--- a/src/standin/main.cpp
+++ b/src/standin/main.cpp
@@ -17,7 +17,7 @@
 {
 
 namespace options = boost::program_options;
-using namespace amarantharch;
+using namespace amarantharch::standin;
 
 constexpr int exit_fault = 1;
 constexpr int exit_usage = 2;
--- a/src/standin/plain_service.cpp
+++ b/src/standin/plain_service.cpp
@@ -1,14 +1,13 @@
 #include "standin/plain_service.hpp"
 
+#include "core/site.hpp"
 #include "standin/json.hpp"
 
-#include <absl/strings/numbers.h>
-
 #include <fmt/format.h>
 
 #include <xxhash.h>
 
-namespace amarantharch
+namespace amarantharch::standin
 {
 
 namespace
@@ -19,12 +18,6 @@
     return fmt::format("{:016x}", XXH64(text.data(), text.size(), 0));
 }
 
-std::int64_t header_integer(call const& request, std::string_view name)
-{
-    std::int64_t value = 0;
-    return absl::SimpleAtoi(header_value(request, name), &value) ? value : 0;
-}
-
 QJsonObject as_json(std::map<std::string, std::uint64_t> const& counts)
 {
     QJsonObject object;
@@ -80,7 +73,7 @@
 {
     std::string const path(path_of(request.target));
     std::string const body_hash = hash_of(request.body);
-    std::string key = header_value(request, "Idempotency-Key");
+    std::string key(header_value(request.headers, "Idempotency-Key"));
     if (key.empty())
     {
         key = fmt::format("{} {} {}", request.method, path, body_hash);
@@ -164,4 +157,4 @@
                                  {"by_body", as_json(by_body_)}});
 }
 
-} // namespace amarantharch
+} // namespace amarantharch::standin
--- a/src/standin/plain_service.hpp
+++ b/src/standin/plain_service.hpp
@@ -20,7 +20,7 @@
 #include <string>
 #include <vector>
 
-namespace amarantharch
+namespace amarantharch::standin
 {
 
 struct plain_service_options
@@ -65,6 +65,6 @@
     std::map<exchange_id, running_row> running_;
 };
 
-} // namespace amarantharch
+} // namespace amarantharch::standin
 
 #endif
--- a/src/standin/platform_service.cpp
+++ b/src/standin/platform_service.cpp
@@ -4,7 +4,7 @@
 
 #include <fmt/format.h>
 
-namespace amarantharch
+namespace amarantharch::standin
 {
 
 namespace
@@ -247,4 +247,4 @@
     }
 }
 
-} // namespace amarantharch
+} // namespace amarantharch::standin
--- a/src/standin/platform_service.hpp
+++ b/src/standin/platform_service.hpp
@@ -24,7 +24,7 @@
 #include <optional>
 #include <string>
 
-namespace amarantharch
+namespace amarantharch::standin
 {
 
 struct platform_service_options
@@ -102,6 +102,6 @@
     std::deque<list_copy> copies_; // ascending by time
 };
 
-} // namespace amarantharch
+} // namespace amarantharch::standin
 
 #endif
--- a/src/standin/platform_service_test.cpp
+++ b/src/standin/platform_service_test.cpp
@@ -6,6 +6,7 @@
 #include <boost/test/unit_test.hpp>
 
 using namespace amarantharch;
+using namespace amarantharch::standin;
 
 namespace
 {
--- a/src/standin/role.hpp
+++ b/src/standin/role.hpp
@@ -14,7 +14,7 @@
 #include <string>
 #include <variant>
 
-namespace amarantharch
+namespace amarantharch::standin
 {
 
 // Names one request to the role; chosen by its caller.
@@ -82,6 +82,6 @@
     virtual void tick(time_point now, reply_sink const& emit) = 0;
 };
 
-} // namespace amarantharch
+} // namespace amarantharch::standin
 
 #endif
--- a/src/standin/role_session_test.hpp
+++ b/src/standin/role_session_test.hpp
@@ -8,7 +8,7 @@
 #include <memory>
 #include <string>
 
-namespace amarantharch
+namespace amarantharch::standin
 {
 
 class role_session
@@ -125,6 +125,6 @@
     bool crashed_ = false;
 };
 
-} // namespace amarantharch
+} // namespace amarantharch::standin
 
 #endif
--- a/src/standin/roles.cpp
+++ b/src/standin/roles.cpp
@@ -9,7 +9,7 @@
 
 #include <fmt/format.h>
 
-namespace amarantharch
+namespace amarantharch::standin
 {
 
 namespace
@@ -139,4 +139,4 @@
     return fronts;
 }
 
-} // namespace amarantharch
+} // namespace amarantharch::standin
--- a/src/standin/roles.hpp
+++ b/src/standin/roles.hpp
@@ -11,7 +11,7 @@
 #include <string>
 #include <vector>
 
-namespace amarantharch
+namespace amarantharch::standin
 {
 
 // What the command line sets; the units are in the names.
@@ -40,6 +40,6 @@
 absl::StatusOr<std::vector<std::unique_ptr<http_front>>>
 serve_roles(standin_options const& options);
 
-} // namespace amarantharch
+} // namespace amarantharch::standin
 
 #endif
