--- a/src/app/admin_server.cpp
+++ b/src/app/admin_server.cpp
@@ -12,7 +12,7 @@
 namespace
 {
 
-constexpr http_server_limits admin_limits{16 * 1024, 64 * 1024, 64};
+constexpr http_server_limits admin_limits{16 * 1024, std::uint64_t{1} << 20, 64};
 constexpr std::string_view drain_timeout_key = "timeout_ms=";
 constexpr std::string_view json_type = "application/json";
 
--- a/src/core/hybrid_clock.hpp
+++ b/src/core/hybrid_clock.hpp
@@ -12,7 +12,6 @@
 #include "core/time.hpp"
 
 #include <algorithm>
-#include <compare>
 #include <cstdint>
 
 namespace amarantharch
@@ -22,9 +21,15 @@
 {
     std::int64_t physical_us = 0;
     std::uint32_t logical = 0;
-    auto operator<=>(hybrid_time const&) const = default;
+    bool operator==(hybrid_time const&) const = default;
 };
 
+constexpr bool operator<(hybrid_time a, hybrid_time b)
+{
+    return a.physical_us != b.physical_us ? a.physical_us < b.physical_us
+                                          : a.logical < b.logical;
+}
+
 // Received timestamps further ahead than this are ignored, so that one broken
 // clock cannot drag every process into the future.
 inline constexpr duration max_clock_skew = std::chrono::minutes(1);
