--- a/src/app/server.cpp
+++ b/src/app/server.cpp
@@ -1,7 +1,6 @@
 #include "app/server.hpp"
 
 #include "app/log.hpp"
-#include "app/settings_site.hpp"
 
 #include <fmt/format.h>
 
@@ -21,6 +20,8 @@
 {
     node_options result;
     result.requests.vm = options.vm;
+    result.control.vm = options.vm;
+    result.control.uses_log = false;
     result.settings_site = options.tables;
     return result;
 }
--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -102,7 +102,7 @@
     {"organisation",
      [](settings& s, std::string name)
      { s.tables.organisations.emplace_back().name = std::move(name); },
-     "A customer, recognised by a credential. May be repeated."},
+     "A customer, recognised by its key. May be repeated."},
 };
 
 constexpr double any = std::numeric_limits<double>::max();
@@ -236,10 +236,10 @@
      [](settings& s) -> target
      { return &s.tables.organisations.back().weight; },
      "Its share of capacity that several organisations want."},
-    {"organisation", "credential", "", 0, any, true,
+    {"organisation", "key_digest", "", 0, any, true,
      [](settings& s) -> target
-     { return &s.tables.organisations.back().credential; },
-     "The bearer token of its requests."},
+     { return &s.tables.organisations.back().key_digest; },
+     "Hexadecimal SHA-256 of the bearer token of its requests."},
 };
 
 section_row const* find_section(std::string_view section)
--- a/src/app/settings_test.cpp
+++ b/src/app/settings_test.cpp
@@ -74,7 +74,7 @@
     {"[route a]\nservice = desk",
      "f.ini: [route a] service: expected the service of an [upstream]; found "
      "\"desk\""},
-    {"[organisation a]\ncredential = x\nweight = 0",
+    {"[organisation a]\nkey_digest = x\nweight = 0",
      "f.ini:6: [organisation a] weight: expected a number from 0.001 to 1000; "
      "found \"0\""},
     {"[tls]\nca = x",
@@ -111,7 +111,7 @@
                                 "idempotent = yes\n"
                                 "[organisation school]\n"
                                 "weight = 2.5\n"
-                                "credential = Bearer a, b; c\n");
+                                "key_digest = a, b; c\n");
     for (auto const& fault : read.faults)
     {
         BOOST_ERROR(to_text(fault));
@@ -125,7 +125,7 @@
     BOOST_TEST((value.tables.upstreams[1].kind == upstream_kind::engine));
     BOOST_TEST(value.tables.routes[0].idempotent);
     BOOST_TEST(value.tables.organisations[0].weight == 2.5);
-    BOOST_TEST(value.tables.organisations[0].credential == "Bearer a, b; c");
+    BOOST_TEST(value.tables.organisations[0].key_digest == "a, b; c");
 }
 
 BOOST_AUTO_TEST_SUITE(with_a_fault)
--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -7,10 +7,45 @@
 
 node::node(node_options options, command_sink emit)
     : options_(std::move(options)),
-      requests_(options_.requests, emit, [](std::string const&) {})
+      control_(options_.control, emit, control_handlers()),
+      requests_(options_.requests, emit,
+                [this](std::string payload)
+                { append_request_record(std::move(payload)); })
 {
     requests_.set_site(std::make_shared<site>(options_.settings_site));
-    requests_.requests_ledger().set_reachable({}, options_.uses_log);
+    requests_.requests_ledger().set_reachable({}, options_.control.uses_log);
+}
+
+control_plane_handlers node::control_handlers()
+{
+    control_plane_handlers handlers;
+    handlers.requests_read = [this](time_point now, log_batch const& batch)
+    {
+        requests_.apply(now, batch);
+    };
+    handlers.log_reachable = [this](time_point now, bool reachable)
+    {
+        requests_.set_log_reachable(now, reachable);
+    };
+    handlers.configured = [this](time_point, configuration const& tables)
+    {
+        requests_.set_site(std::make_shared<site>(site_of(tables)));
+    };
+    handlers.member_changed = [this](time_point now, member_change const& what)
+    {
+        if (what.after == member_state::gone)
+        {
+            requests_.vm_gone(now, what.vm);
+        }
+    };
+    return handlers;
+}
+
+// A record that does not fit the queue is lost; the ledger gives it again.
+void node::append_request_record(std::string payload)
+{
+    control_.append(present_, log_stream::requests, std::move(payload))
+        .IgnoreError();
 }
 
 void node::handle(time_point now, event const& what)
@@ -21,14 +56,24 @@
 
 void node::on(time_point now, ticked const&)
 {
+    control_.tick(now);
     requests_.tick(now);
 }
 
-void node::on(time_point, log_result const&) {}
+void node::on(time_point now, log_result const& what)
+{
+    control_.handle(now, what);
+}
 
-void node::on(time_point, peer_message_received const&) {}
+void node::on(time_point now, peer_message_received const& what)
+{
+    control_.handle(now, what.message);
+}
 
-void node::on(time_point, members_listed const&) {}
+void node::on(time_point now, members_listed const& what)
+{
+    control_.apply_vm_list(now, what.members);
+}
 
 void node::on(time_point, upstream_reported const& what)
 {
@@ -42,6 +87,7 @@
 
 void node::on(time_point now, stop_requested const& what)
 {
+    control_.leave();
     requests_.handle(now, what);
 }
 
@@ -51,7 +97,8 @@
     {
         return {false, "draining"};
     }
-    return {true, ""};
+    configuration_readiness const configured = control_.readiness();
+    return {configured.ready, configured.reason};
 }
 
 } // namespace amarantharch
--- a/src/core/node.hpp
+++ b/src/core/node.hpp
@@ -16,6 +16,7 @@
 #define AMARANTHARCH_CORE_NODE_HPP
 
 #include "core/command.hpp"
+#include "core/control_plane.hpp"
 #include "core/event.hpp"
 #include "core/request_path.hpp"
 #include "core/site.hpp"
@@ -33,7 +34,7 @@
 struct node_options
 {
     request_path_options requests;
-    bool uses_log = false;
+    control_plane_options control;
     // In force until a configuration revision is known.
     site settings_site;
 };
@@ -52,6 +53,12 @@
     // Takes one event; emits the commands that follow from it.
     void handle(time_point now, event const& what);
 
+    // Starts to publish a configuration change; see control_plane.
+    publish_report publish(time_point now, configuration_change change)
+    {
+        return control_.publish(now, std::move(change));
+    }
+
     // Whether callers should be sent here.
     node_readiness readiness() const;
 
@@ -59,6 +66,10 @@
     {
         return requests_;
     }
+    control_plane const& control() const
+    {
+        return control_;
+    }
 
 private:
     template <typename Event>
@@ -74,8 +85,12 @@
     void on(time_point now, upstream_leaving_seen const& what);
     void on(time_point now, stop_requested const& what);
 
+    control_plane_handlers control_handlers();
+    void append_request_record(std::string payload);
+
     node_options options_;
     time_point present_; // of the event in hand
+    control_plane control_;
     request_path requests_;
 };
 
