--- a/src/core/stream_relay.hpp
+++ b/src/core/stream_relay.hpp
@@ -157,8 +157,8 @@
     }
 
 private:
-    bool take(engine_event const& event, std::string& out);
-    void remember(std::string const& event);
+    bool take(engine_event const& what, std::string& out);
+    void remember(std::string text);
 
     std::string stream_;
     token_offset next_;
