--- /dev/null
+++ b/src/core/quarantine.cpp
@@ -0,0 +1,315 @@
+#include "core/quarantine.hpp"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace amarantharch
+{
+
+namespace
+{
+
+bool is_space(char c)
+{
+    return c == ' ' || c == '\t' || c == '\n' || c == '\r';
+}
+
+std::string without_space(std::string_view body)
+{
+    std::string result;
+    result.reserve(body.size());
+    bool quoted = false;
+    bool escaped = false;
+    for (char const c : body)
+    {
+        if (!quoted && is_space(c))
+        {
+            continue;
+        }
+        if (c == '"' && !escaped)
+        {
+            quoted = !quoted;
+        }
+        escaped = quoted && c == '\\' && !escaped;
+        result.push_back(c);
+    }
+    return result;
+}
+
+std::int64_t newest(std::map<crash_id, crash_mark> const& marks,
+                    std::int64_t acquitted_us)
+{
+    std::int64_t result = acquitted_us;
+    for (auto const& [crash, mark] : marks)
+    {
+        result = std::max(result, mark.time_us);
+    }
+    return result;
+}
+
+} // namespace
+
+fingerprint fingerprint_of(std::string_view service, std::string_view method,
+                           std::string_view target, std::string_view body)
+{
+    std::string bytes;
+    for (auto const part : {service, method, target})
+    {
+        bytes.append(part);
+        bytes.push_back('\0');
+    }
+    bytes += without_space(body);
+    return XXH3_64bits(bytes.data(), bytes.size());
+}
+
+quarantine::quarantine(quarantine_options options)
+    : options_(std::move(options))
+{
+}
+
+quarantine_decision quarantine::decide(time_point now, fingerprint print) const
+{
+    auto const marks = standing_marks(now, print);
+    if (marks.empty())
+    {
+        return quarantine_decision::run;
+    }
+    if (marks.size() == 1)
+    {
+        return quarantine_decision::run_alone;
+    }
+    if (std::any_of(marks.begin(), marks.end(),
+                    [this](crash_mark const& mark) { return was_alone(mark); }))
+    {
+        return quarantine_decision::refuse;
+    }
+    std::int64_t last_us = 0;
+    for (auto const& mark : marks)
+    {
+        last_us = std::max(last_us, mark.time_us);
+    }
+    if (to_micros(now) - last_us < options_.settle_time.count())
+    {
+        return quarantine_decision::hold;
+    }
+    for (auto const& a : marks)
+    {
+        for (auto const& b : marks)
+        {
+            if (a.crash < b.crash && only_common(now, a, b))
+            {
+                return quarantine_decision::refuse;
+            }
+        }
+    }
+    return quarantine_decision::run_alone;
+}
+
+void quarantine::crashed(time_point now, crash_id const& crash,
+                         std::set<fingerprint> const& in_flight, bool reserved)
+{
+    bool const alone = reserved && in_flight.size() == 1;
+    for (auto const print : in_flight)
+    {
+        add(now, crash_mark{print, crash, alone, to_micros(now)});
+    }
+}
+
+void quarantine::ended_well_alone(time_point now, fingerprint print)
+{
+    if (rows_.contains(print))
+    {
+        add(now, acquittal{print, to_micros(now)});
+    }
+}
+
+bool quarantine::merge(time_point now, quarantine_delta const& delta)
+{
+    bool changed = false;
+    for (auto const& mark : delta.marks)
+    {
+        changed |= add(now, mark);
+    }
+    for (auto const& what : delta.acquittals)
+    {
+        changed |= add(now, what);
+    }
+    return changed;
+}
+
+quarantine_delta quarantine::take_changes()
+{
+    return std::exchange(changes_, {});
+}
+
+quarantine_delta quarantine::state() const
+{
+    quarantine_delta result;
+    for (auto const& [print, r] : rows_)
+    {
+        for (auto const& [crash, mark] : r.marks)
+        {
+            result.marks.push_back(mark);
+        }
+        if (r.acquitted_us != 0)
+        {
+            result.acquittals.push_back({print, r.acquitted_us});
+        }
+    }
+    return result;
+}
+
+void quarantine::tick(time_point now)
+{
+    for (auto found = rows_.begin(); found != rows_.end();)
+    {
+        auto& r = found->second;
+        for (auto mark = r.marks.begin(); mark != r.marks.end();)
+        {
+            auto const next = std::next(mark);
+            if (expired(now, mark->second.time_us))
+            {
+                erase_mark(r, mark);
+            }
+            mark = next;
+        }
+        bool const empty = r.marks.empty() && expired(now, r.acquitted_us);
+        found = empty ? rows_.erase(found) : std::next(found);
+    }
+}
+
+// A crash's time is the earliest at which any VM saw it, so that merging in
+// any order gives the same.
+bool quarantine::add(time_point now, crash_mark const& mark)
+{
+    if (expired(now, mark.time_us))
+    {
+        return false;
+    }
+    auto& r = rows_[mark.print];
+    auto const [known, added] = r.marks.try_emplace(mark.crash, mark);
+    auto& merged = known->second;
+    auto const before = merged;
+    merged.alone = merged.alone || mark.alone;
+    merged.time_us = std::min(merged.time_us, mark.time_us);
+    if (!added && before.alone == merged.alone &&
+        before.time_us == merged.time_us)
+    {
+        return false;
+    }
+    crashes_[mark.crash].insert(mark.print);
+    changes_.marks.push_back(merged);
+    limit_marks(r);
+    make_room();
+    return true;
+}
+
+bool quarantine::add(time_point now, acquittal const& what)
+{
+    if (expired(now, what.time_us))
+    {
+        return false;
+    }
+    auto& r = rows_[what.print];
+    if (r.acquitted_us >= what.time_us)
+    {
+        return false;
+    }
+    r.acquitted_us = what.time_us;
+    changes_.acquittals.push_back(what);
+    make_room();
+    return true;
+}
+
+// Marks that count: not expired, and not void by an acquittal.
+std::vector<crash_mark> quarantine::standing_marks(time_point now,
+                                                   fingerprint print) const
+{
+    std::vector<crash_mark> result;
+    auto const found = rows_.find(print);
+    if (found == rows_.end())
+    {
+        return result;
+    }
+    for (auto const& [crash, mark] : found->second.marks)
+    {
+        if (!expired(now, mark.time_us) &&
+            mark.time_us > found->second.acquitted_us)
+        {
+            result.push_back(mark);
+        }
+    }
+    return result;
+}
+
+// A VM said so, and no VM had another request on that upstream.
+bool quarantine::was_alone(crash_mark const& mark) const
+{
+    return mark.alone && crashes_.at(mark.crash).size() == 1;
+}
+
+// Whether no other suspect was in both crashes.
+bool quarantine::only_common(time_point now, crash_mark const& a,
+                             crash_mark const& b) const
+{
+    auto const& in_a = crashes_.at(a.crash);
+    auto const& in_b = crashes_.at(b.crash);
+    return std::none_of(in_a.begin(), in_a.end(),
+                        [&](fingerprint other)
+                        {
+                            return other != a.print && in_b.contains(other) &&
+                                   !standing_marks(now, other).empty();
+                        });
+}
+
+bool quarantine::expired(time_point now, std::int64_t time_us) const
+{
+    return to_micros(now) - time_us > options_.memory.count();
+}
+
+void quarantine::limit_marks(row& r)
+{
+    while (r.marks.size() > options_.max_marks_each)
+    {
+        auto const oldest =
+            std::min_element(r.marks.begin(), r.marks.end(),
+                             [](auto const& a, auto const& b)
+                             { return a.second.time_us < b.second.time_us; });
+        erase_mark(r, oldest);
+    }
+}
+
+void quarantine::make_room()
+{
+    while (rows_.size() > options_.max_fingerprints)
+    {
+        auto const oldest = std::min_element(
+            rows_.begin(), rows_.end(),
+            [](auto const& a, auto const& b)
+            {
+                return newest(a.second.marks, a.second.acquitted_us) <
+                       newest(b.second.marks, b.second.acquitted_us);
+            });
+        while (!oldest->second.marks.empty())
+        {
+            erase_mark(oldest->second, oldest->second.marks.begin());
+        }
+        rows_.erase(oldest);
+    }
+}
+
+void quarantine::erase_mark(row& r,
+                            std::map<crash_id, crash_mark>::iterator mark)
+{
+    auto const crash = crashes_.find(mark->first);
+    crash->second.erase(mark->second.print);
+    if (crash->second.empty())
+    {
+        crashes_.erase(crash);
+    }
+    r.marks.erase(mark);
+}
+
+} // namespace amarantharch
