--- a/src/core/admission.cpp
+++ b/src/core/admission.cpp
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace amarantharch
@@ -17,6 +18,10 @@
 // Weight of the newest request in the means.
 constexpr double mean_gain = 0.02;
 
+// Time over which offers are counted, and the newest window's weight.
+constexpr duration rate_window = std::chrono::seconds(1);
+constexpr double rate_gain = 0.3;
+
 std::size_t level_of(request_class priority)
 {
     return static_cast<std::size_t>(priority);
@@ -45,6 +50,7 @@
 {
     admission_result result;
     learn_activity(now, what.organisation);
+    measure_offer(now, what.priority);
     // What waits is what may not run (see release()), so nobody is overtaken.
     auto const lowest = lowest_runnable(what.organisation);
     if (lowest && what.priority <= *lowest)
@@ -57,7 +63,10 @@
     }
     duration const allowed = allowed_wait(now, what);
     duration const wait = predicted_wait(what);
-    if (allowed <= duration::zero() || wait > allowed)
+    // One below its share is served with the next requests that end, whatever
+    // the others have waiting.
+    bool const too_long = wait > allowed && !under_share(what.organisation);
+    if (allowed <= duration::zero() || too_long)
     {
         result.why = refuse(what.id, "overloaded", wait);
         return result;
@@ -120,11 +129,12 @@
                       static_cast<double>(tokens) -
                           static_cast<double>(ended.tokens));
     served_[ended.organisation] += tokens;
-    measure(now - ended.started, tokens);
+    measure(ended, now - ended.started, tokens);
 }
 
 admission_release admission::release(time_point now)
 {
+    leave_out_silent_peers(now);
     admission_release result;
     for (queued_request const& late : queue_.expire(now))
     {
@@ -132,11 +142,12 @@
             {late.id, late.organisation, late.priority, late.tokens, 0, {}});
         result.refused.push_back({late.id, refuse(late.id, "timeout", wait)});
     }
-    auto const lowest = [this](std::string const& organisation)
+    auto const filter = [this](std::string const& organisation)
     {
-        return lowest_runnable(organisation);
+        return fair_queue::allowance{lowest_runnable(organisation),
+                                     under_share(organisation)};
     };
-    while (auto const next = queue_.pop(lowest))
+    while (auto const next = queue_.pop(filter))
     {
         start(now, *next);
         result.run.push_back(next->id);
@@ -144,31 +155,53 @@
     return result;
 }
 
-usage_summary admission::usage(std::string vm, std::uint64_t incarnation) const
+usage_summary admission::usage(std::string vm, std::uint64_t incarnation)
 {
     usage_summary summary;
     summary.vm = std::move(vm);
     summary.incarnation = incarnation;
+    summary.sequence = ++usage_sequence_;
+    summary.limit = limit();
     for (auto const& [organisation, tokens] : served_)
     {
-        summary.served.push_back({organisation, tokens});
+        auto const known = active_.find(organisation);
+        std::uint32_t const running =
+            known == active_.end() ? 0 : known->second.in_flight;
+        summary.served.push_back({organisation, tokens, running});
     }
     return summary;
 }
 
-void admission::merge(usage_summary const& peer)
+void admission::merge(time_point now, usage_summary const& peer)
 {
     auto const [place, first_heard] = peers_.try_emplace(peer.vm);
     peer_row& known = place->second;
-    if (!first_heard && peer.incarnation < known.incarnation)
+    auto const version = std::pair(peer.incarnation, peer.sequence);
+    if (!first_heard && version <= std::pair(known.incarnation, known.sequence))
     {
         return;
     }
     if (peer.incarnation > known.incarnation)
     {
         known.served.clear();
-        known.incarnation = peer.incarnation;
     }
+    known.incarnation = peer.incarnation;
+    known.sequence = peer.sequence;
+    known.heard_at = now;
+    merge_served(known, peer, first_heard);
+    leave_out(known);
+    known.limit = peer.limit;
+    peer_limit_ += peer.limit;
+    for (organisation_usage const& usage : peer.served)
+    {
+        known.in_flight[usage.organisation] += usage.in_flight;
+        peer_in_flight_[usage.organisation] += usage.in_flight;
+    }
+}
+
+void admission::merge_served(peer_row& known, usage_summary const& peer,
+                             bool first_heard)
+{
     for (organisation_usage const& usage : peer.served)
     {
         std::uint64_t& counted = known.served[usage.organisation];
@@ -185,17 +218,53 @@
 
 void admission::forget_peer(std::string const& vm)
 {
-    peers_.erase(vm);
+    auto const known = peers_.find(vm);
+    if (known != peers_.end())
+    {
+        leave_out(known->second);
+        peers_.erase(known);
+    }
+}
+
+// Takes the peer's requests in flight out of the sums.
+void admission::leave_out(peer_row& peer)
+{
+    peer_limit_ -= peer.limit;
+    peer.limit = 0;
+    for (auto const& [organisation, running] : peer.in_flight)
+    {
+        peer_in_flight_[organisation] -= running;
+    }
+    peer.in_flight.clear();
+}
+
+void admission::leave_out_silent_peers(time_point now)
+{
+    for (auto& [vm, peer] : peers_)
+    {
+        if (peer.limit > 0 && now - peer.heard_at > options_.peer_memory)
+        {
+            leave_out(peer);
+        }
+    }
 }
 
 bool admission::under_share(std::string const& organisation) const
 {
     auto const known = active_.find(organisation);
-    std::uint32_t const own =
-        known == active_.end() ? 0 : known->second.in_flight;
-    double const share = queue_.weight(organisation) /
-                         std::max(active_weight_, queue_.weight(organisation));
-    return own < limit() * share;
+    double const own = known == active_.end() ? 0 : known->second.in_flight;
+    double const weight = queue_.weight(organisation);
+    double const share = weight / std::max(active_weight_, weight);
+    if (own < limit() * share)
+    {
+        return true;
+    }
+    auto const elsewhere = peer_in_flight_.find(organisation);
+    double const others = elsewhere == peer_in_flight_.end()
+                              ? 0
+                              : static_cast<double>(elsewhere->second);
+    double const whole = limit() + static_cast<double>(peer_limit_);
+    return own + others < whole * share;
 }
 
 std::optional<request_class>
@@ -208,7 +277,7 @@
     {
         return std::nullopt;
     }
-    double const others = open * (1 - options_.interactive_reserve);
+    double const others = open - interactive_reserve();
     return running_others_ < std::max(1.0, others) ? request_class::batch
                                                    : request_class::interactive;
 }
@@ -280,12 +349,43 @@
     }
 }
 
-void admission::measure(duration ran, std::uint32_t tokens)
+void admission::measure(running_row const& ended, duration ran,
+                        std::uint32_t tokens)
 {
     double const ms = std::chrono::duration<double, std::milli>(ran).count();
-    double const gain = mean_run_ms_ == 0 ? 1 : mean_gain;
-    mean_run_ms_ += gain * (ms - mean_run_ms_);
-    mean_tokens_ += gain * (tokens - mean_tokens_);
+    auto const learn = [](double& mean, double sample)
+    {
+        mean += (mean == 0 ? 1 : mean_gain) * (sample - mean);
+    };
+    learn(mean_run_ms_, ms);
+    learn(mean_tokens_, tokens);
+    if (ended.priority == request_class::interactive)
+    {
+        learn(interactive_run_ms_, ms);
+    }
+}
+
+void admission::measure_offer(time_point now, request_class priority)
+{
+    if (now - window_start_ >= rate_window)
+    {
+        double const ms =
+            std::chrono::duration<double, std::milli>(now - window_start_)
+                .count();
+        interactive_rate_ +=
+            rate_gain * (window_offers_ / ms - interactive_rate_);
+        window_start_ = now;
+        window_offers_ = 0;
+    }
+    window_offers_ += priority == request_class::interactive ? 1 : 0;
+}
+
+double admission::interactive_reserve() const
+{
+    // Room for the mean number in flight (Little's law) and its spread.
+    double const mean = interactive_rate_ * interactive_run_ms_;
+    return std::min(mean + std::sqrt(mean),
+                    limit() * options_.max_interactive_reserve);
 }
 
 double admission::tokens_per_ms() const
--- a/src/core/admission.hpp
+++ b/src/core/admission.hpp
@@ -4,24 +4,30 @@
 // and nobody waits before it; else it waits in the fair queue for as long as
 // its class and deadline allow. It is refused at once, before any upstream has
 // seen it, when the wait predicted from the tokens ahead of it and the measured
-// service rate is longer than that, or when the queue is full. A refusal is
+// service rate is longer than that (unless its organisation is below its share,
+// see below), or when the queue is full. A refusal is
 // not_run by construction and says when to come back: the predicted wait, and
 // a spread of up to half of it derived from the request's id, so that refused
 // callers do not come back together.
 //
 // What runs cannot be taken back, so parts of the limit are kept free:
-// `interactive_reserve` of it for interactive requests, and `fair_headroom` for
+// as much as interactive requests need at their measured rate and run time, at
+// most `max_interactive_reserve` of it, for these, and `fair_headroom` for
 // organisations whose requests in flight are below their share, that is the
 // limit by weight among those that offered requests in the last
 // `activity_window`. So one who offers far more than its share finds the
-// headroom closed, and the others find it open. An organisation alone has the
-// whole limit.
+// headroom closed, and the others find it open and go first in the queue. An
+// organisation alone has the whole limit.
 //
-// Shares between VMs: usage() is a cumulative count per organisation, which
-// peers merge by maximum: late, repeated and reordered messages do no harm.
-// While a peer is not heard, each VM is still fair by its own counters; the
-// error is at most the tokens served at the unheard VMs since the last message
-// from them, and the weight of what is heard is bounded by the fair queue.
+// Shares between VMs: usage() has for each organisation a cumulative count of
+// tokens, which peers merge by maximum, and the requests in flight, of which
+// the newest message counts. So late, repeated and reordered messages do no
+// harm. An organisation is below its share if it is so at this VM or in the sum
+// over all VMs heard lately: at one VM alone, chance puts many above it.
+// While a peer is not heard, its part is left out of the sum and each VM is
+// still fair by its own counters; the error is at most the tokens served at the
+// unheard VMs since the last message from them, and the weight of what is heard
+// is bounded by the fair queue.
 //
 // Usage: offer(); for run_now and each of release(): send it; then on_first()
 // once if an answer began and on_end() exactly once. release() after each
@@ -63,9 +69,11 @@
          {std::chrono::milliseconds(2'000), std::chrono::milliseconds(1'500)},
          {std::chrono::milliseconds(15'000),
           std::chrono::milliseconds(5'000)}}};
-    double interactive_reserve = 0.15;
-    double fair_headroom = 0.15;
+    double max_interactive_reserve = 0.35;
+    double fair_headroom = 0.1;
     duration activity_window = std::chrono::seconds(10);
+    // After this time without a message a peer's requests are left out.
+    duration peer_memory = std::chrono::seconds(3);
     // Share of the first-byte target that the upstreams may take before the
     // concurrency limit counts a request as late; the rest is for the queue.
     double upstream_target_share = 0.5;
@@ -127,21 +135,24 @@
     std::vector<refused_request> refused;
 };
 
-// Tokens that one VM has served to one organisation since it started.
+// What one VM has served and is running for one organisation.
 struct organisation_usage
 {
     std::string organisation;
-    std::uint64_t tokens = 0;
-    MSGPACK_DEFINE(organisation, tokens)
+    std::uint64_t tokens = 0; // since the VM started
+    std::uint32_t in_flight = 0;
+    MSGPACK_DEFINE(organisation, tokens, in_flight)
 };
 
-// Gossiped; a higher incarnation replaces a lower one.
+// Gossiped. Of one VM, the greatest (incarnation, sequence) is the newest.
 struct usage_summary
 {
     std::string vm;
     std::uint64_t incarnation = 0;
+    std::uint64_t sequence = 0;
+    std::uint32_t limit = 0; // requests in flight that the VM admits
     std::vector<organisation_usage> served;
-    MSGPACK_DEFINE(vm, incarnation, served)
+    MSGPACK_DEFINE(vm, incarnation, sequence, limit, served)
 };
 
 class admission
@@ -165,8 +176,9 @@
 
     admission_release release(time_point now);
 
-    usage_summary usage(std::string vm, std::uint64_t incarnation) const;
-    void merge(usage_summary const& peer);
+    // Each call gives a message with the next sequence number.
+    usage_summary usage(std::string vm, std::uint64_t incarnation);
+    void merge(time_point now, usage_summary const& peer);
     // The peer is gone for good: its counters are dropped.
     void forget_peer(std::string const& vm);
 
@@ -199,7 +211,11 @@
     struct peer_row
     {
         std::uint64_t incarnation = 0;
+        std::uint64_t sequence = 0;
+        time_point heard_at;
+        std::uint32_t limit = 0;
         std::map<std::string, std::uint64_t> served;
+        std::map<std::string, std::uint32_t> in_flight;
     };
 
     struct organisation_row
@@ -209,6 +225,10 @@
     };
 
     bool under_share(std::string const& organisation) const;
+    void merge_served(peer_row& known, usage_summary const& peer,
+                      bool first_heard);
+    void leave_out(peer_row& peer);
+    void leave_out_silent_peers(time_point now);
     std::optional<request_class>
     lowest_runnable(std::string const& organisation) const;
     void learn_activity(time_point now, std::string const& organisation);
@@ -217,7 +237,9 @@
     refusal refuse(request_id const& id, std::string reason,
                    duration wait) const;
     void start(time_point now, queued_request const& what);
-    void measure(duration ran, std::uint32_t tokens);
+    void measure(running_row const& ended, duration ran, std::uint32_t tokens);
+    void measure_offer(time_point now, request_class priority);
+    double interactive_reserve() const;
 
     admission_options options_;
     concurrency_limit limit_;
@@ -230,9 +252,18 @@
     double active_weight_ = 0;
     std::map<std::string, std::uint64_t> served_; // tokens, by organisation
     std::map<std::string, peer_row> peers_;
+    // Sums over peers_ of limit and in_flight.
+    std::uint64_t peer_limit_ = 0;
+    std::map<std::string, std::uint64_t> peer_in_flight_;
+    std::uint64_t usage_sequence_ = 0;
     // Means over the requests that ended lately; the oldest fade out.
     double mean_tokens_ = 0;
     double mean_run_ms_ = 0;
+    double interactive_run_ms_ = 0;
+    // Interactive requests offered a millisecond, over the last windows.
+    double interactive_rate_ = 0;
+    time_point window_start_;
+    std::uint32_t window_offers_ = 0;
 };
 
 } // namespace amarantharch
--- a/src/core/concurrency_limit.cpp
+++ b/src/core/concurrency_limit.cpp
@@ -41,7 +41,7 @@
         limit_ *= options_.shrink_factor;
         shrunk_at_ = now;
     }
-    else if (peak_in_flight_ + 1 >= limit())
+    else if (peak_in_flight_ >= limit_ * options_.used_share)
     {
         limit_ += std::max(1.0, limit_ * options_.growth_share);
     }
--- a/src/core/concurrency_limit.hpp
+++ b/src/core/concurrency_limit.hpp
@@ -21,6 +21,7 @@
     std::uint32_t floor = 4;
     std::uint32_t ceiling = 100'000;
     double late_share = 0.05;
+    double used_share = 0.8; // of the limit: it is in use, and may grow
     double shrink_factor = 0.85;
     double growth_share = 0.05; // of the limit, each window; at least 1
     std::uint32_t window_samples = 40;
--- a/src/core/fair_queue.cpp
+++ b/src/core/fair_queue.cpp
@@ -44,9 +44,9 @@
     return given_up;
 }
 
-std::optional<queued_request> fair_queue::pop(class_filter const& lowest)
+std::optional<queued_request> fair_queue::pop(class_filter const& filter)
 {
-    auto const next = next_request(lowest);
+    auto const next = next_request(filter);
     if (next.row == nullptr)
     {
         return std::nullopt;
@@ -60,7 +60,10 @@
 
 std::optional<queued_request> fair_queue::pop(request_class lowest)
 {
-    return pop([lowest](std::string const&) { return lowest; });
+    return pop(
+        [lowest](std::string const&) {
+            return allowance{lowest, false};
+        });
 }
 
 std::optional<queued_request> fair_queue::remove(request_id const& id)
@@ -245,24 +248,28 @@
     return 0;
 }
 
-fair_queue::place fair_queue::next_request(class_filter const& lowest)
+fair_queue::place fair_queue::next_request(class_filter const& filter)
 {
     place best;
+    bool best_preferred = false;
     double best_key = std::numeric_limits<double>::infinity();
     for (auto& [name, row] : organisations_)
     {
-        auto const allowed =
-            row.requests > 0 ? lowest(name) : std::optional<request_class>();
-        auto const level = allowed ? next_class(row, level_of(*allowed))
-                                   : std::optional<std::size_t>();
-        if (!level)
+        allowance const allowed = row.requests > 0 ? filter(name) : allowance{};
+        if (!allowed.lowest)
         {
             continue;
         }
-        double const key = row.counter - lead_of(row, level_of(*allowed));
-        if (key < best_key)
+        std::size_t const lowest = level_of(*allowed.lowest);
+        auto const level = next_class(row, lowest);
+        double const key = row.counter - lead_of(row, lowest);
+        bool const before = allowed.preferred != best_preferred
+                                ? allowed.preferred
+                                : key < best_key;
+        if (level && before)
         {
             best = {&row, *level};
+            best_preferred = allowed.preferred;
             best_key = key;
         }
     }
--- a/src/core/fair_queue.hpp
+++ b/src/core/fair_queue.hpp
@@ -14,6 +14,9 @@
 // practically always, and every class that waits gets at least its weight's
 // share, so none starves.
 //
+// The caller may prefer some organisations, such as those below their share of
+// what runs: these are ordered among themselves and go first.
+//
 // Tokens served without waiting, here or at other VMs, count as well, so that
 // who used much a moment ago goes behind who used little. What this can cost is
 // bounded: on starting to wait, an organisation is at most `max_lead` tokens
@@ -75,13 +78,19 @@
     // `what` itself.
     std::vector<queued_request> push(queued_request what);
 
-    // The lowest class of an organisation's requests that may be served now;
-    // nothing if none may.
-    using class_filter = std::function<std::optional<request_class>(
-        std::string const& organisation)>;
+    // What may be served of an organisation's requests now.
+    struct allowance
+    {
+        // The lowest class; nothing: none of its requests.
+        std::optional<request_class> lowest;
+        // Goes before all organisations that are not preferred.
+        bool preferred = false;
+    };
+    using class_filter =
+        std::function<allowance(std::string const& organisation)>;
 
     // Takes the next request that may be served, and charges its tokens.
-    std::optional<queued_request> pop(class_filter const& lowest);
+    std::optional<queued_request> pop(class_filter const& filter);
 
     // The same with one lowest class for all organisations.
     std::optional<queued_request> pop(request_class lowest);
@@ -146,7 +155,7 @@
     static std::optional<std::size_t> next_class(organisation_row const& row,
                                                  std::size_t lowest);
     double lead_of(organisation_row const& row, std::size_t lowest) const;
-    place next_request(class_filter const& lowest);
+    place next_request(class_filter const& filter);
     double own_tokens_ahead(organisation_row const& row, std::size_t level,
                             std::uint32_t tokens) const;
     queued_request take(organisation_row& row, std::size_t level,
