--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -1,8 +1,8 @@
 #include "net/http_client.hpp"
 
+#include "net/endpoint.hpp"
 #include "net/http_parser.hpp"
 
-#include <QHostAddress>
 #include <QTcpSocket>
 #include <QTimer>
 
@@ -99,36 +99,6 @@
     steady_time expires;
 };
 
-struct endpoint
-{
-    QHostAddress host;
-    quint16 port;
-};
-
-// The parts of ip:port or [ip6]:port; nothing if it is malformed.
-std::optional<endpoint> parse_endpoint(std::string const& address)
-{
-    auto const colon = address.rfind(':');
-    if (colon == std::string::npos)
-    {
-        return std::nullopt;
-    }
-    std::string host = address.substr(0, colon);
-    if (host.starts_with('[') && host.ends_with(']'))
-    {
-        host = host.substr(1, host.size() - 2);
-    }
-    bool is_number = false;
-    quint16 const port =
-        QString::fromStdString(address.substr(colon + 1)).toUShort(&is_number);
-    endpoint result{QHostAddress(QString::fromStdString(host)), port};
-    if (!is_number || port == 0 || result.host.isNull())
-    {
-        return std::nullopt;
-    }
-    return result;
-}
-
 // True if the upstream has neither closed nor said anything on an idle
 // connection. Looks at the kernel's state, since Qt's may lag behind it.
 bool is_usable(QTcpSocket const& socket)
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -33,7 +33,7 @@
 {
     std::uint32_t header_bytes = 64 * 1024;
     // What a paused answer may hold in memory.
-    std::size_t read_buffer_bytes = 256 * 1024;
+    std::size_t read_buffer_bytes = std::size_t{256} << 10;
     // Pooled connections; the oldest is closed when there are more.
     std::size_t idle_connections_per_address = 64;
     std::size_t idle_connections = 1024;
--- a/src/net/http_client_test.cpp
+++ b/src/net/http_client_test.cpp
@@ -46,10 +46,10 @@
                   [this](exchange_id e, std::string const& bytes)
                   { outcomes[e].body += bytes; },
                   [this](exchange_id e) { outcomes[e].ended = true; },
-                  [this](exchange_id e, verdict run, std::string reason)
+                  [this](exchange_id e, verdict run, std::string const& reason)
                   {
                       outcomes[e].run = run;
-                      outcomes[e].reason = std::move(reason);
+                      outcomes[e].reason = reason;
                   }},
                  limits)
     {
@@ -165,7 +165,7 @@
         auto* const generic = reinterpret_cast<sockaddr*>(&address);
         BOOST_REQUIRE(::bind(listener_, generic, size) == 0);
         BOOST_REQUIRE(::listen(listener_, 0) == 0);
-        ::getsockname(listener_, generic, &size);
+        BOOST_REQUIRE(::getsockname(listener_, generic, &size) == 0);
         port_ = ntohs(address.sin_port);
         fill(generic, size);
     }
@@ -195,7 +195,8 @@
         {
             fillers_.push_back(
                 ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
-            ::connect(fillers_.back(), address, size);
+            // Those beyond the queue stay in progress.
+            static_cast<void>(::connect(fillers_.back(), address, size));
         }
     }
 
@@ -484,7 +485,7 @@
 BOOST_AUTO_TEST_CASE(reaches_the_upstream_with_bounded_memory)
 {
     constexpr std::size_t size = std::size_t{64} << 20;
-    fixture f({.read_buffer_bytes = 64 * 1024});
+    fixture f({.read_buffer_bytes = std::size_t{64} << 10});
     f.post(1, 1);
     f.client.pause(1);
     f.connection(0).send(
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -26,7 +26,7 @@
 using steady_clock = std::chrono::steady_clock;
 using steady_time = steady_clock::time_point;
 
-constexpr qint64 socket_buffer_bytes = 64 * 1024;
+constexpr qint64 socket_buffer_bytes = qint64{64} << 10;
 constexpr std::size_t request_id_bytes = 128;
 // Connections over the limit that get a refusal; further ones are reset.
 constexpr std::size_t turned_away_connections = 256;
@@ -747,7 +747,6 @@
         }
         else
         {
-            note_head(row);
             reject(row,
                    timeout_refusal(row.state == phase::head ? "header_timeout"
                                                             : "body_timeout"));
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -54,8 +54,8 @@
     std::size_t connections_per_address = 4096;
     // Bytes of an answer not yet taken by the caller: above `pause` the
     // exchange is paused, below half of it resumed, above `limit` cut.
-    std::size_t outgoing_pause_bytes = 256 * 1024;
-    std::size_t outgoing_limit_bytes = 4 * 1024 * 1024;
+    std::size_t outgoing_pause_bytes = std::size_t{256} << 10;
+    std::size_t outgoing_limit_bytes = std::size_t{4} << 20;
     // A keep-alive connection without a request is closed.
     duration idle_timeout = std::chrono::seconds(75);
     duration header_timeout = std::chrono::seconds(10);
--- a/src/net/http_server_test.cpp
+++ b/src/net/http_server_test.cpp
@@ -373,8 +373,9 @@
     for (int i = 0; i < 3; ++i)
     {
         peer_socket caller(f.server.port());
-        caller.send(post + "Transfer-Encoding: chunked\r\n\r\n384\r\n" + large +
-                    "\r\n384\r\n" + large);
+        caller.send(post);
+        caller.send("Transfer-Encoding: chunked\r\n\r\n");
+        caller.send(fmt::format("384\r\n{0}\r\n384\r\n{0}", large));
         BOOST_REQUIRE(run_until([&] { return caller.closed; }));
         BOOST_TEST(caller.got(" 413 "), caller.received);
     }
@@ -470,7 +471,7 @@
     // Writes pieces until the server pauses the exchange.
     void fill()
     {
-        std::string const piece(64 * 1024, 'x');
+        std::string const piece(std::size_t{64} << 10, 'x');
         BOOST_REQUIRE(run_until(
             [&]
             {
@@ -501,9 +502,9 @@
 
 BOOST_AUTO_TEST_CASE(are_cut_at_the_limit)
 {
-    slow_caller f({.outgoing_limit_bytes = 1024 * 1024});
+    slow_caller f({.outgoing_limit_bytes = std::size_t{1} << 20});
     f.fill();
-    std::string const piece(64 * 1024, 'x');
+    std::string const piece(std::size_t{64} << 10, 'x');
     for (int i = 0; i < 64; ++i)
     {
         f.server.answer_piece(f.e, piece);
--- a/src/net/peer_transport.hpp
+++ b/src/net/peer_transport.hpp
@@ -9,8 +9,12 @@
 // certificate, so a message cannot claim another sender.
 //
 // Memory is bounded: each peer has one queue with limits on messages and
-// bytes. When a message does not fit, queued membership messages are dropped
-// first, since newer ones replace them; then the new message is refused.
+// bytes, and all queues together have one on bytes. When a message does not
+// fit, membership messages queued for its target are dropped first, since
+// newer ones replace them; then the new message is refused.
+//
+// Handlers are called from the event loop only, never from inside a call of
+// this class.
 #ifndef AMARANTHARCH_NET_PEER_TRANSPORT_HPP
 #define AMARANTHARCH_NET_PEER_TRANSPORT_HPP
 
@@ -31,18 +35,22 @@
 
 struct peer_transport_settings
 {
-    std::string certificate_file; // PEM; its common name is this VM's id
-    std::string key_file;         // PEM
-    std::string authority_file;   // PEM; may hold several during a rotation
-    std::uint64_t seed = 1;       // of the jitter of reconnects
-    std::size_t queue_messages = 1024;
-    std::size_t queue_bytes = 4 * 1024 * 1024;
-    std::size_t message_bytes = 1024 * 1024;
+    std::string certificate_file = {}; // PEM; its common name is this VM's id
+    std::string key_file = {};         // PEM
+    std::string authority_file = {}; // PEM; may hold several during a rotation
+    std::uint64_t seed = 1;          // of the jitter of reconnects
+    std::size_t queue_messages = 1024; // for each peer, as is queue_bytes
+    std::size_t queue_bytes = std::size_t{4} << 20;
+    std::size_t total_queue_bytes = std::size_t{32} << 20;
+    std::size_t message_bytes = std::size_t{1} << 20;
     std::size_t inbound_connections = 2048;
     duration connect_timeout = std::chrono::seconds(2);
     duration backoff_min = std::chrono::milliseconds(100);
     duration backoff_max = std::chrono::seconds(10);
+    // A connection without messages is closed.
     duration idle_timeout = std::chrono::seconds(60);
+    // A message that could not be sent for so long is dropped.
+    duration queue_timeout = std::chrono::seconds(5);
 };
 
 struct peer_transport_handlers
@@ -68,7 +76,8 @@
     peer_transport& operator=(peer_transport const&) = delete;
 
     // Reads the certificate, key and authority files; used for every
-    // connection made from then on. On failure the earlier ones stay in use.
+    // connection made from then on. Connections made under another authority
+    // are closed. On failure the earlier files' contents stay in use.
     absl::Status reload_certificates();
 
     // Calls reload_certificates, then binds. Port 0 takes any free one.
@@ -84,7 +93,7 @@
     // Queues `message` for `message.vm`. NotFound without set_peer,
     // ResourceExhausted when the queue is full, InvalidArgument when it
     // exceeds message_bytes.
-    absl::Status send(peer_message message);
+    absl::Status send(peer_message const& message);
 
 private:
     class impl;
