--- a/src/core/ledger_record.hpp
+++ b/src/core/ledger_record.hpp
@@ -30,6 +30,8 @@
     std::string vm;
     std::uint64_t incarnation = 0; // grows with each start of that vm
     std::uint64_t sequence = 0;    // grows with each attempt
+    // clang-tidy 14 takes the 0 in a defaulted comparison for a null pointer.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     auto operator<=>(run_id const&) const = default;
     MSGPACK_DEFINE(vm, incarnation, sequence)
 };
--- a/src/core/ledger_test.cpp
+++ b/src/core/ledger_test.cpp
@@ -105,7 +105,7 @@
         } while (!unsent.empty());
     }
 
-    void submit(time_point now, request_id request, request_key key,
+    void submit(time_point now, request_id const& request, request_key key,
                 bool asynchronous = false, std::uint64_t content = 7)
     {
         submission what;
@@ -122,7 +122,7 @@
     {
         BOOST_REQUIRE(!effects.empty());
         BOOST_REQUIRE(std::holds_alternative<Effect>(effects.back()));
-        auto const effect = std::get<Effect>(effects.back());
+        auto effect = std::get<Effect>(effects.back());
         effects.clear();
         return effect;
     }
--- a/src/core/quarantine.cpp
+++ b/src/core/quarantine.cpp
@@ -64,10 +64,7 @@
     return XXH3_64bits(bytes.data(), bytes.size());
 }
 
-quarantine::quarantine(quarantine_options options)
-    : options_(std::move(options))
-{
-}
+quarantine::quarantine(quarantine_options options) : options_(options) {}
 
 quarantine_decision quarantine::decide(time_point now, fingerprint print) const
 {
--- a/src/core/quarantine.hpp
+++ b/src/core/quarantine.hpp
@@ -57,6 +57,8 @@
 {
     std::string upstream;
     std::uint64_t incarnation = 0; // of the process that crashed
+    // clang-tidy 14 takes the 0 in a defaulted comparison for a null pointer.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     auto operator<=>(crash_id const&) const = default;
     MSGPACK_DEFINE(upstream, incarnation)
 };
--- a/src/core/request_key.hpp
+++ b/src/core/request_key.hpp
@@ -22,6 +22,8 @@
 {
     std::uint64_t high = 0;
     std::uint64_t low = 0;
+    // clang-tidy 14 takes the 0 in a defaulted comparison for a null pointer.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     auto operator<=>(request_key const&) const = default;
     MSGPACK_DEFINE(high, low)
 };
