--- a/src/app/server.cpp
+++ b/src/app/server.cpp
@@ -1,6 +1,7 @@
 #include "app/server.hpp"
 
 #include "app/log.hpp"
+#include "app/settings_site.hpp"
 
 #include <fmt/format.h>
 
@@ -16,22 +17,20 @@
         std::chrono::system_clock::now());
 }
 
-std::vector<upstream_entry> entries(settings const& options)
+node_options options_of(settings const& options)
 {
-    std::vector<upstream_entry> rows;
-    for (upstream_spec const& upstream : options.tables.upstreams)
-    {
-        rows.push_back({upstream.name, upstream.address});
-    }
-    return rows;
+    node_options result;
+    result.requests.vm = options.vm;
+    result.settings_site = site_of(options);
+    return result;
 }
 
 } // namespace
 
 server::server(settings options)
     : options_(std::move(options)),
-      node_(node_options{options_.vm, options_.failure_domain,
-                         entries(options_)}),
+      node_(options_of(options_), [this](command const& c)
+            { std::visit([this](auto const& v) { carry_out(v); }, c); }),
       callers_({}, {[this](exchange_id e, call c) { receive(e, std::move(c)); },
                     [this](exchange_id e)
                     {
@@ -87,9 +86,7 @@
 
 void server::tell(event const& what)
 {
-    node_.handle(present(), what,
-                 [this](command const& c)
-                 { std::visit([this](auto const& v) { carry_out(v); }, c); });
+    node_.handle(present(), what);
 }
 
 void server::carry_out(start_attempt const& what)
--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -5,94 +5,53 @@
 namespace amarantharch
 {
 
-namespace
+node::node(node_options options, command_sink emit)
+    : options_(std::move(options)),
+      requests_(options_.requests, emit, [](std::string const&) {})
 {
-
-constexpr duration no_upstream_retry_after = std::chrono::seconds(1);
-
-} // namespace
-
-node::node(node_options options) : options_(std::move(options)) {}
-
-void node::handle(time_point now, event const& what, command_sink const& emit)
-{
-    std::visit([&](auto const& e) { on(now, e, emit); }, what);
+    requests_.set_site(std::make_shared<site>(options_.settings_site));
+    requests_.requests_ledger().set_reachable({}, options_.uses_log);
 }
 
-void node::on(time_point, call_received const& what, command_sink const& emit)
+void node::handle(time_point now, event const& what)
 {
-    if (options_.upstreams.empty())
-    {
-        emit(answer_refusal{
-            what.request.id,
-            {503, verdict::not_run, "no_upstream", no_upstream_retry_after}});
-        return;
-    }
-    upstream_entry const& chosen =
-        options_.upstreams[next_upstream_++ % options_.upstreams.size()];
-    attempt_id const attempt = next_attempt_++;
-    requests_[what.request.id] = request_row{attempt};
-    attempts_[attempt] = what.request.id;
-    emit(start_attempt{attempt, chosen.name, chosen.address, what.request});
+    present_ = now;
+    std::visit([&](auto const& e) { on(now, e); }, what);
 }
 
-void node::on(time_point, call_abandoned const& what, command_sink const& emit)
+void node::on(time_point now, ticked const&)
 {
-    auto const row = requests_.find(what.request);
-    if (row == requests_.end())
-    {
-        return;
-    }
-    emit(cancel_attempt{row->second.attempt});
-    attempts_.erase(row->second.attempt);
-    requests_.erase(row);
+    requests_.tick(now);
 }
 
-void node::on(time_point, upstream_head const& what, command_sink const& emit)
+void node::on(time_point, log_result const&) {}
+
+void node::on(time_point, peer_message_received const&) {}
+
+void node::on(time_point, members_listed const&) {}
+
+void node::on(time_point, upstream_reported const& what)
 {
-    auto const found = attempts_.find(what.attempt);
-    if (found == attempts_.end())
-    {
-        return;
-    }
-    requests_[found->second].answer_started = true;
-    emit(answer_head{found->second, what.status, what.headers});
+    requests_.upstream_reported(what.upstream, what.report);
 }
 
-void node::on(time_point, upstream_piece const& what, command_sink const& emit)
+void node::on(time_point, upstream_leaving_seen const& what)
 {
-    auto const found = attempts_.find(what.attempt);
-    if (found != attempts_.end())
-    {
-        emit(answer_piece{found->second, what.bytes});
-    }
+    requests_.upstream_leaving(what.upstream);
 }
 
-void node::on(time_point, upstream_end const& what, command_sink const& emit)
+void node::on(time_point now, stop_requested const& what)
 {
-    auto const found = attempts_.find(what.attempt);
-    if (found == attempts_.end())
-    {
-        return;
-    }
-    request_id const request = found->second;
-    attempts_.erase(found);
-    requests_.erase(request);
-    emit(answer_end{request});
+    requests_.handle(now, what);
 }
 
-void node::on(time_point, upstream_failed const& what, command_sink const& emit)
+node_readiness node::readiness() const
 {
-    auto const found = attempts_.find(what.attempt);
-    if (found == attempts_.end())
+    if (requests_.stopping())
     {
-        return;
+        return {false, "draining"};
     }
-    request_id const request = found->second;
-    attempts_.erase(found);
-    requests_.erase(request);
-    emit(answer_refusal{request,
-                        {502, what.run, what.reason, no_upstream_retry_after}});
+    return {true, ""};
 }
 
 } // namespace amarantharch
--- a/src/core/site.cpp
+++ b/src/core/site.cpp
@@ -8,8 +8,6 @@
 namespace
 {
 
-constexpr std::string_view bearer_prefix = "Bearer ";
-
 absl::string_view absl_view(std::string_view text)
 {
     return {text.data(), text.size()};
@@ -61,23 +59,17 @@
     return {};
 }
 
-std::optional<std::string> identify_organisation(site const& tables,
-                                                 header_list const& headers)
+std::optional<std::string>
+identify_organisation(site const& tables, std::string_view credential_digest)
 {
     if (tables.organisations.empty())
     {
         return "";
     }
-    std::string_view token = header_value(headers, "Authorization");
-    if (!token.starts_with(bearer_prefix))
-    {
-        return std::nullopt;
-    }
-    token.remove_prefix(bearer_prefix.size());
     for (organisation_spec const& organisation : tables.organisations)
     {
-        if (!organisation.credential.empty() &&
-            equal_in_constant_time(organisation.credential, token))
+        if (!organisation.key_digest.empty() &&
+            equal_in_constant_time(organisation.key_digest, credential_digest))
         {
             return organisation.name;
         }
--- a/src/standin/http_front.cpp
+++ b/src/standin/http_front.cpp
@@ -76,7 +76,7 @@
 
 void http_front::carry_out(reply_cut const& what)
 {
-    server_.abort(what.exchange);
+    server_.answer_abort(what.exchange);
 }
 
 void http_front::carry_out(reply_crash const&)
