--- a/src/app/server.cpp
+++ b/src/app/server.cpp
@@ -21,7 +21,7 @@
 {
     node_options result;
     result.requests.vm = options.vm;
-    result.settings_site = site_of(options);
+    result.settings_site = options.tables;
     return result;
 }
 
