Graceful shutdown on SIGTERM; tests of the whole path in separate processes

serve drains: idle connections end, those in use after their answer, then the process exits with 0. Settings fill the site tables again, with digests of credentials in place of the credentials.

--- a/src/app/commands.cpp
+++ b/src/app/commands.cpp
@@ -4,6 +4,7 @@
 #include "app/log.hpp"
 #include "app/server.hpp"
 #include "app/settings.hpp"
+#include "app/signal_watcher.hpp"
 
 #include <QCoreApplication>
 
@@ -64,6 +65,12 @@
     return count == 0 ? exit_success : exit_fault;
 }
 
+void stop_loop()
+{
+    log(log_level::info, "stopped", {});
+    QCoreApplication::exit(exit_success);
+}
+
 int serve(options::variables_map const& given)
 {
     auto const chosen = read_settings(given["settings"].as<std::string>());
@@ -81,6 +88,14 @@
             {{"reason", std::string(started.message())}});
         return exit_fault;
     }
+    auto const watcher = signal_watcher::watch(
+        [&] { subject.drain(chosen->limits.drain_timeout, stop_loop); });
+    if (!watcher.ok())
+    {
+        log(log_level::error, "start_failed",
+            {{"reason", std::string(watcher.status().message())}});
+        return exit_fault;
+    }
     return QCoreApplication::exec();
 }
 
--- /dev/null
+++ b/src/app/process_test.cpp
@@ -0,0 +1,203 @@
+// The whole path in separate processes: stand-ins, VMs and callers.
+#include "app/process_fixture_test.hpp"
+
+#include <array>
+
+using namespace amarantharch;
+using namespace amarantharch::testing;
+
+namespace
+{
+
+// A plain service, an engine, and three VMs in three failure domains.
+struct fleet : process_fixture
+{
+    fleet()
+    {
+        desk = upstreams.address("port", "role", "plain");
+        drafts = upstreams.address("port", "role", "engine");
+        std::string const tables = fmt::format(
+            "[upstream desk-1]\naddress = {}\nservice = desk\n"
+            "[upstream engine-1]\naddress = {}\nservice = drafts\n"
+            "kind = engine\n"
+            "[route desk]\nprefix = /\nservice = desk\nidempotent = yes\n"
+            "[route drafts]\nprefix = /v1/\nservice = drafts\nkind = engine\n"
+            "idempotent = yes\n",
+            desk, drafts);
+        for (std::size_t i = 0; i < vms.size(); ++i)
+        {
+            vms[i] =
+                &start_vm(fmt::format("entry-{}", i),
+                          std::array{"asan", "patan", "bhaktapur"}[i], tables);
+        }
+        for (std::size_t i = 0; i < vms.size(); ++i)
+        {
+            addresses[i] = vms[i]->address();
+        }
+    }
+
+    static call post(std::string target, std::string body,
+                     header_list headers = {})
+    {
+        return {"", "POST", std::move(target), std::move(headers),
+                std::move(body)};
+    }
+
+    bool serves(std::size_t vm)
+    {
+        auto const answer =
+            fetch(addresses[vm], post("/listings", "hello"), patience);
+        return answer.ok() && answer->status == 200 &&
+               answer->body.find(R"("echo":"hello")") != std::string::npos;
+    }
+
+    program& upstreams = start("amarantharch-standin",
+                               {"--serve", "plain", "--serve", "engine"});
+    std::string desk;
+    std::string drafts;
+    std::array<program*, 3> vms{};
+    std::array<std::string, 3> addresses;
+};
+
+// What follows the first event, which differs with the engine's cache.
+std::string tokens_of(std::string const& body)
+{
+    std::size_t const first = body.find("\n\n");
+    return first == std::string::npos ? body : body.substr(first);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(three_vms_in_three_failure_domains)
+
+BOOST_FIXTURE_TEST_CASE(each_answer_a_callers_request_whole, fleet)
+{
+    for (std::size_t i = 0; i < vms.size(); ++i)
+    {
+        BOOST_TEST(serves(i), vms[i]->output());
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(each_pass_an_engines_stream_on_whole, fleet)
+{
+    call const draft =
+        post("/v1/completions", R"({"prompt":"lunch","max_tokens":40,)"
+                                R"("stream":true})");
+    streamed_request direct(drafts, draft);
+    BOOST_REQUIRE(direct.wait_for_end());
+    BOOST_TEST(direct.body().find("data: [DONE]") != std::string::npos);
+    for (std::string const& address : addresses)
+    {
+        streamed_request relayed(address, draft);
+        BOOST_TEST(relayed.wait_for_end(), relayed.failure());
+        BOOST_TEST(tokens_of(relayed.body()) == tokens_of(direct.body()));
+    }
+}
+
+BOOST_AUTO_TEST_SUITE(of_which_one_is_killed)
+
+BOOST_FIXTURE_TEST_CASE(go_on_serving_at_the_others, fleet)
+{
+    vms[0]->kill();
+    BOOST_TEST(!serves(0));
+    BOOST_TEST(serves(1));
+    BOOST_TEST(serves(2));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(of_which_one_is_told_to_stop)
+
+BOOST_FIXTURE_TEST_CASE(do_not_cut_a_stream_in_progress, fleet)
+{
+    streamed_request stream(
+        addresses[0],
+        post("/reports", "", {{"X-Stream-Pieces", "30"}, {"X-Run-Ms", "30"}}));
+    BOOST_REQUIRE(stream.wait_for("piece 0\n"));
+    vms[0]->terminate();
+    BOOST_TEST(stream.wait_for_end(), stream.failure());
+    BOOST_TEST(stream.body().find("piece 29\n") != std::string::npos);
+    BOOST_TEST(vms[0]->exit_status() == 0, vms[0]->output());
+    BOOST_TEST(!serves(0));
+    BOOST_TEST(serves(1));
+}
+
+BOOST_FIXTURE_TEST_CASE(stop_at_once_where_nothing_is_in_progress, fleet)
+{
+    BOOST_TEST(serves(0));
+    vms[0]->terminate();
+    BOOST_TEST(vms[0]->exit_status() == 0, vms[0]->output());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(the_command_line, process_fixture)
+
+namespace
+{
+
+struct command_case
+{
+    std::vector<char const*> arguments;
+    int exit_status;
+    char const* printed; // part of what it prints
+};
+
+std::vector<command_case> const command_cases{
+    {{}, 2, "usage: amarantharch COMMAND"},
+    {{"--help"}, 0, "timeline"},
+    {{"fly"}, 2, "no command \"fly\""},
+    {{"version"}, 0, "amarantharch 0.1.0"},
+    {{"version", "--json"}, 0, "{\"version\":\"0.1.0\"}"},
+    {{"version", "--jsno"}, 2, "unrecognised option"},
+    {{"version", "more"}, 2, "usage: amarantharch version"},
+    {{"serve", "--help"}, 0, "SIGTERM"},
+    {{"serve"}, 2, "--settings"},
+    {{"serve", "--settings", "/nonexistent"}, 1, "can be read"},
+    {{"check"}, 2, "expected a FILE"},
+    {{"check", "/nonexistent"}, 1, "can be read"},
+    {{"check", "--json", "/nonexistent"}, 1, "\"faults\":[{\"file\""},
+    {{"status"}, 2, "--admin"},
+    {{"status", "--admin", "127.0.0.1:1"}, 1, "connect_failed"},
+    {{"status", "--admin", "127.0.0.1:1", "--json"}, 1, "\"error\""},
+    {{"timeline", "--admin", "127.0.0.1:1", "--format", "pdf"},
+     2,
+     "text, json"},
+    {{"drain", "--admin", "127.0.0.1:1"}, 1, "connect_failed"},
+    {{"publish", "--admin", "127.0.0.1:1"}, 2, "expected one FILE"},
+    {{"--help-settings"}, 0, "[organisation NAME]"},
+    {{"--help-settings", "--markdown"}, 0, "# Settings"},
+    {{"--help-settings", "--html"}, 2, "--markdown"},
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(exits_with_0_for_done_1_for_faults_2_for_usage)
+{
+    for (command_case const& row : command_cases)
+    {
+        QStringList arguments;
+        for (char const* argument : row.arguments)
+        {
+            arguments.append(argument);
+        }
+        program& run = start("amarantharch", arguments);
+        std::string const shown = arguments.join(' ').toStdString();
+        BOOST_TEST(run.exit_status() == row.exit_status, shown);
+        BOOST_TEST(run.output().find(row.printed) != std::string::npos,
+                   shown << ": " << run.output());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(accepts_a_file_without_faults)
+{
+    std::string const path =
+        write_file("good.ini", "[vm]\nid = vm-1\nfailure_domain = asan\n");
+    program& run =
+        start("amarantharch", {"check", QString::fromStdString(path)});
+    BOOST_TEST(run.exit_status() == 0, run.output());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/app/server.cpp
+++ b/src/app/server.cpp
@@ -1,7 +1,8 @@
 #include "app/server.hpp"
 
 #include "app/log.hpp"
-#include "app/settings_site.hpp"
+
+#include <QTimer>
 
 #include <fmt/format.h>
 
@@ -32,9 +33,10 @@
       node_(options_of(options_), [this](command const& c)
             { std::visit([this](auto const& v) { carry_out(v); }, c); }),
       callers_({}, {[this](exchange_id e, call c) { receive(e, std::move(c)); },
-                    [this](exchange_id e)
+                    [this](exchange_id e) { abandon(e); }, nullptr, nullptr,
+                    [this]
                     {
-                        abandon(e);
+                        drained_();
                     }}),
       upstreams_({[this](exchange_id e, int status, header_list headers) {
                       tell(upstream_head{e, status, std::move(headers)});
@@ -66,6 +68,19 @@
     return bound;
 }
 
+void server::drain(duration timeout, std::function<void()> done)
+{
+    log(log_level::info, "draining",
+        {{"timeout_ms", fmt::to_string(to_millis(timeout))},
+         {"requests", fmt::to_string(exchanges_.size())}});
+    drained_ = std::move(done);
+    tell(stop_requested{present() + timeout});
+    callers_.drain();
+    QTimer::singleShot(
+        std::chrono::duration_cast<std::chrono::milliseconds>(timeout),
+        [this] { drained_(); });
+}
+
 void server::receive(exchange_id exchange, call request)
 {
     request.id = fmt::format("{}-{}", options_.vm, next_request_++);
--- a/src/app/server.hpp
+++ b/src/app/server.hpp
@@ -13,6 +13,7 @@
 
 #include <absl/status/status.h>
 
+#include <functional>
 #include <map>
 
 namespace amarantharch
@@ -30,6 +31,11 @@
         return callers_.port();
     }
 
+    // Starts a graceful shutdown: takes no new connection, ends those that
+    // are idle and the others after their answer. Calls `done` when none is
+    // left, or after `timeout`.
+    void drain(duration timeout, std::function<void()> done);
+
 private:
     void receive(exchange_id exchange, call request);
     void abandon(exchange_id exchange);
@@ -48,6 +54,7 @@
     }
 
     settings options_;
+    std::function<void()> drained_; // empty while not draining
     node node_;
     http_server callers_;
     http_client upstreams_;
--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -38,8 +38,9 @@
 };
 
 using target =
-    std::variant<std::string*, address_target, std::uint16_t*, std::uint64_t*,
-                 double*, duration*, bool*, upstream_kind*, log_level*>;
+    std::variant<std::string*, address_target, std::uint16_t*, std::uint8_t*,
+                 std::uint32_t*, std::uint64_t*, double*, duration*, bool*,
+                 upstream_kind*, log_level*>;
 
 struct key_row
 {
@@ -61,6 +62,25 @@
     std::string_view help;
 };
 
+constexpr char const* default_service = "default";
+
+upstream_spec upstream_called(std::string name)
+{
+    upstream_spec row;
+    row.name = std::move(name);
+    row.service = default_service;
+    return row;
+}
+
+route_spec route_called(std::string name)
+{
+    route_spec row;
+    row.name = std::move(name);
+    row.prefix = "/";
+    row.service = default_service;
+    return row;
+}
+
 constexpr section_row sections[] = {
     {"vm", nullptr, "This VM and the addresses that it listens on."},
     {"log", nullptr, "The platform's append-only log service."},
@@ -72,17 +92,17 @@
     {"memory", nullptr, "Budgets; what would exceed one is refused."},
     {"upstream",
      [](settings& s, std::string name)
-     { s.upstreams.emplace_back().name = std::move(name); },
+     { s.tables.upstreams.push_back(upstream_called(std::move(name))); },
      "One back end. May be repeated, each with a name of its own."},
     {"route",
      [](settings& s, std::string name)
-     { s.routes.emplace_back().name = std::move(name); },
+     { s.tables.routes.push_back(route_called(std::move(name))); },
      "Requests whose path starts with a prefix; the longest prefix wins. May "
      "be repeated."},
     {"organisation",
      [](settings& s, std::string name)
-     { s.organisations.emplace_back().name = std::move(name); },
-     "A customer, recognised by a credential. May be repeated."},
+     { s.tables.organisations.emplace_back().name = std::move(name); },
+     "A customer, recognised by its key. May be repeated."},
 };
 
 constexpr double any = std::numeric_limits<double>::max();
@@ -169,50 +189,57 @@
      "The newest entries of the time line."},
     {"upstream", "address", "", 0, any, true,
      [](settings& s) -> target
-     { return address_target{&s.upstreams.back().address}; },
+     { return address_target{&s.tables.upstreams.back().address}; },
      "Where it listens."},
     {"upstream", "kind", "", 0, any, false,
-     [](settings& s) -> target { return &s.upstreams.back().kind; },
+     [](settings& s) -> target { return &s.tables.upstreams.back().kind; },
      "`engine` is a model engine, `plain` any HTTP service."},
     {"upstream", "service", "", 0, any, false,
-     [](settings& s) -> target { return &s.upstreams.back().service; },
-     "The service that it belongs to; by default one of its own name."},
+     [](settings& s) -> target { return &s.tables.upstreams.back().service; },
+     "The service that it belongs to."},
     {"upstream", "version", "", 0, any, false,
-     [](settings& s) -> target { return &s.upstreams.back().version; },
+     [](settings& s) -> target { return &s.tables.upstreams.back().version; },
      "The version of its software or model."},
     {"upstream", "failure_domain", "", 0, any, false,
-     [](settings& s) -> target { return &s.upstreams.back().failure_domain; },
+     [](settings& s) -> target
+     { return &s.tables.upstreams.back().failure_domain; },
      "The failure domain that it runs in."},
     {"upstream", "capacity", "requests", 1, most_connections, false,
-     [](settings& s) -> target { return &s.upstreams.back().capacity; },
+     [](settings& s) -> target { return &s.tables.upstreams.back().capacity; },
      "Requests in flight that it may be given."},
     {"upstream", "price", "per hour", 0, most_price, false,
-     [](settings& s) -> target { return &s.upstreams.back().price; },
+     [](settings& s) -> target { return &s.tables.upstreams.back().price; },
      "What it costs, in one unit for all upstreams."},
     {"upstream", "reclaimable", "", 0, any, false,
-     [](settings& s) -> target { return &s.upstreams.back().reclaimable; },
+     [](settings& s) -> target
+     { return &s.tables.upstreams.back().reclaimable; },
      "Whether the platform may take it back at any time."},
     {"route", "prefix", "", 0, any, false,
-     [](settings& s) -> target { return &s.routes.back().prefix; },
+     [](settings& s) -> target { return &s.tables.routes.back().prefix; },
      "Start of the paths that the route takes."},
-    {"route", "service", "", 0, any, true,
-     [](settings& s) -> target { return &s.routes.back().service; },
+    {"route", "service", "", 0, any, false,
+     [](settings& s) -> target { return &s.tables.routes.back().service; },
      "The service that answers."},
+    {"route", "kind", "", 0, any, false,
+     [](settings& s) -> target { return &s.tables.routes.back().kind; },
+     "The kind of that service's upstreams."},
     {"route", "idempotent", "", 0, any, false,
-     [](settings& s) -> target { return &s.routes.back().idempotent; },
+     [](settings& s) -> target { return &s.tables.routes.back().idempotent; },
      "`no`: a request runs at most once."},
     {"route", "timeout", "ms", 1, most_milliseconds, false,
-     [](settings& s) -> target { return &s.routes.back().timeout; },
+     [](settings& s) -> target { return &s.tables.routes.back().timeout; },
      "Time for the whole answer."},
     {"route", "priority", "", 0, most_priority, false,
-     [](settings& s) -> target { return &s.routes.back().priority; },
+     [](settings& s) -> target { return &s.tables.routes.back().priority; },
      "Which requests are served first under load; 0 is served last."},
     {"organisation", "weight", "", 0.001, most_weight, false,
-     [](settings& s) -> target { return &s.organisations.back().weight; },
+     [](settings& s) -> target
+     { return &s.tables.organisations.back().weight; },
      "Its share of capacity that several organisations want."},
-    {"organisation", "credential", "", 0, any, true,
-     [](settings& s) -> target { return &s.organisations.back().credential; },
-     "The Authorization header of its requests, such as `Bearer TOKEN`."},
+    {"organisation", "key_digest", "", 0, any, true,
+     [](settings& s) -> target
+     { return &s.tables.organisations.back().key_digest; },
+     "Hexadecimal SHA-256 of the bearer token of its requests."},
 };
 
 section_row const* find_section(std::string_view section)
@@ -271,6 +298,14 @@
     {
         return range("an integer");
     }
+    std::string operator()(std::uint8_t*) const
+    {
+        return range("an integer");
+    }
+    std::string operator()(std::uint32_t*) const
+    {
+        return range("an integer");
+    }
     std::string operator()(double*) const
     {
         return range("a number");
@@ -348,6 +383,18 @@
         *value = std::chrono::milliseconds(milliseconds);
         return read;
     }
+    bool operator()(std::uint8_t* value) const
+    {
+        return assign_narrow(value);
+    }
+    bool operator()(std::uint16_t* value) const
+    {
+        return assign_narrow(value);
+    }
+    bool operator()(std::uint32_t* value) const
+    {
+        return assign_narrow(value);
+    }
     bool operator()(std::uint64_t* value) const
     {
         return absl::SimpleAtoi(text, value) &&
@@ -356,11 +403,12 @@
     }
 
     // The row's range lies within the type's.
-    bool operator()(std::uint16_t* value) const
+    template <typename Integer>
+    bool assign_narrow(Integer* value) const
     {
         std::uint64_t wide = 0;
         bool const read = (*this)(&wide);
-        *value = static_cast<std::uint16_t>(wide);
+        *value = static_cast<Integer>(wide);
         return read;
     }
 
@@ -571,20 +619,18 @@
             result_.faults.push_back(
                 {file_, 0, "tls", "", "all of ca, certificate, key, or none"});
         }
-        for (route_settings const& route : result_.value.routes)
+        for (route_spec const& route : result_.value.tables.routes)
         {
             check_route(route);
         }
     }
 
-    void check_route(route_settings const& route)
+    void check_route(route_spec const& route)
     {
-        auto const& upstreams = result_.value.upstreams;
-        auto const serves = [&](upstream_settings const& upstream)
+        auto const& upstreams = result_.value.tables.upstreams;
+        auto const serves = [&](upstream_spec const& upstream)
         {
-            return route.service == (upstream.service.empty()
-                                         ? upstream.name
-                                         : upstream.service);
+            return upstream.service == route.service;
         };
         if (std::none_of(upstreams.begin(), upstreams.end(), serves))
         {
--- a/src/app/settings.hpp
+++ b/src/app/settings.hpp
@@ -54,39 +54,6 @@
     std::uint64_t timeline_bytes = std::uint64_t{4} << 20;
 };
 
-// [upstream NAME]: one back end.
-struct upstream_settings
-{
-    std::string name;
-    std::string address; // ip:port
-    upstream_kind kind = upstream_kind::plain;
-    std::string service; // the service it belongs to; empty: its name
-    std::string failure_domain;
-    std::string version;
-    std::uint64_t capacity = 32; // requests at once
-    double price = 1.0;          // per hour, in any one unit
-    bool reclaimable = false;
-};
-
-// [route NAME]: requests whose path starts with `prefix`; the longest wins.
-struct route_settings
-{
-    std::string name;
-    std::string prefix = "/";
-    std::string service;
-    bool idempotent = false; // whether a request may be repeated
-    duration timeout = std::chrono::seconds(60);
-    std::uint64_t priority = default_route_priority; // 0 is served last
-};
-
-// [organisation NAME]: a customer, recognised by its credential.
-struct organisation_settings
-{
-    std::string name;
-    double weight = 1.0;    // its share of contended capacity
-    std::string credential; // value of the Authorization header
-};
-
 struct settings
 {
     // [vm]
@@ -106,9 +73,10 @@
     limit_settings limits;
     memory_settings memory;
 
-    std::vector<upstream_settings> upstreams;
-    std::vector<route_settings> routes;
-    std::vector<organisation_settings> organisations;
+    // [upstream NAME], [route NAME], [organisation NAME]: in force until a
+    // configuration revision is known. An upstream without a service, and a
+    // route without one, have the service "default".
+    site tables;
 };
 
 // One thing wrong with a settings file.
