--- a/scripts/install.sh
+++ b/scripts/install.sh
@@ -7,4 +7,4 @@
     g++ cmake ninja-build ccache curl clang-format clang-tidy \
     qt6-base-dev libgl-dev libnghttp2-dev prometheus-cpp-dev libboost-dev \
     libboost-program-options-dev libboost-test-dev libfmt-dev libabsl-dev \
-    libxxhash-dev libmsgpack-cxx-dev libssl-dev > /dev/null
+    libxxhash-dev libmsgpack-cxx-dev libssl-dev wrk > /dev/null
--- a/src/app/process_fixture_test.hpp
+++ b/src/app/process_fixture_test.hpp
@@ -18,6 +18,9 @@
 
 #include <fmt/format.h>
 
+#include <sys/prctl.h>
+
+#include <csignal>
 #include <fstream>
 #include <functional>
 #include <memory>
@@ -64,6 +67,9 @@
             QString::fromStdString(AMARANTHARCH_BINARY_DIR "/" + name));
         process_.setArguments(arguments);
         process_.setProcessChannelMode(QProcess::MergedChannels);
+        // Ends with the test program, however that ends.
+        process_.setChildProcessModifier(
+            [] { (void)prctl(PR_SET_PDEATHSIG, SIGKILL); });
         process_.start();
     }
 
