--- a/src/app/process_fixture_test.hpp
+++ b/src/app/process_fixture_test.hpp
@@ -143,7 +143,7 @@
     {
         for (QByteArray const& line : output_.split('\n'))
         {
-            QJsonObject const row = QJsonDocument::fromJson(line).object();
+            QJsonObject row = QJsonDocument::fromJson(line).object();
             bool const matches =
                 row.value("event") == QLatin1String(event) &&
                 (key == nullptr ||
@@ -232,7 +232,7 @@
     // Writes `text` to a file that lasts as long as the fixture.
     std::string write_file(std::string const& name, std::string const& text)
     {
-        std::string const path = directory.filePath("").toStdString() + name;
+        std::string path = directory.filePath("").toStdString() + name;
         std::ofstream(path) << text;
         return path;
     }
