--- a/src/app/server.cpp
+++ b/src/app/server.cpp
@@ -2,6 +2,8 @@
 
 #include "app/log.hpp"
 
+#include <QTimer>
+
 #include <fmt/format.h>
 
 namespace amarantharch
@@ -20,8 +22,6 @@
 {
     node_options result;
     result.requests.vm = options.vm;
-    result.control.vm = options.vm;
-    result.control.uses_log = false;
     result.settings_site = options.tables;
     return result;
 }
@@ -33,9 +33,10 @@
       node_(options_of(options_), [this](command const& c)
             { std::visit([this](auto const& v) { carry_out(v); }, c); }),
       callers_({}, {[this](exchange_id e, call c) { receive(e, std::move(c)); },
-                    [this](exchange_id e)
+                    [this](exchange_id e) { abandon(e); }, nullptr, nullptr,
+                    [this]
                     {
-                        abandon(e);
+                        drained_();
                     }}),
       upstreams_({[this](exchange_id e, int status, header_list headers) {
                       tell(upstream_head{e, status, std::move(headers)});
@@ -67,6 +68,19 @@
     return bound;
 }
 
+void server::drain(duration timeout, std::function<void()> done)
+{
+    log(log_level::info, "draining",
+        {{"timeout_ms", fmt::to_string(to_millis(timeout))},
+         {"requests", fmt::to_string(exchanges_.size())}});
+    drained_ = std::move(done);
+    tell(stop_requested{present() + timeout});
+    callers_.drain();
+    QTimer::singleShot(
+        std::chrono::duration_cast<std::chrono::milliseconds>(timeout),
+        [this] { drained_(); });
+}
+
 void server::receive(exchange_id exchange, call request)
 {
     request.id = fmt::format("{}-{}", options_.vm, next_request_++);
--- a/src/core/request_path.hpp
+++ b/src/core/request_path.hpp
@@ -24,9 +24,11 @@
 #include "core/command.hpp"
 #include "core/event.hpp"
 #include "core/ledger.hpp"
+#include "core/outlier.hpp"
 #include "core/retry_budget.hpp"
 #include "core/routing.hpp"
 #include "core/site.hpp"
+#include "core/stream_relay.hpp"
 #include "core/upstream_table.hpp"
 
 #include <cstdint>
@@ -50,6 +52,9 @@
     admission_options admission;
     routing_options routing;
     retry_budget_options retries;
+    outlier_options outliers;
+    // Bytes of a stream's last tokens kept while it is relayed.
+    std::size_t stream_history_bytes = std::size_t{16} << 10;
     ledger_options requests_ledger; // vm and incarnation are filled in
 };
 
@@ -156,7 +161,8 @@
         std::vector<upstream_index> tried;
         verdict run = verdict::not_run; // of all ended attempts, combined
         std::uint64_t answer_bytes = 0;
-        run_outcome outcome; // collected for the ledger
+        run_outcome outcome;               // collected for the ledger
+        std::optional<stream_relay> relay; // if tokens are streamed
     };
 
     // Arrival.
@@ -181,6 +187,8 @@
     void end_attempt(time_point now, row& r);
     void failed(time_point now, row& r, verdict run, std::string const& reason);
     bool try_again(time_point now, row& r);
+    void relay_piece(time_point now, row& r, std::string const& bytes);
+    void give_up_stream(row const& r, refusal const& why);
 
     // Endings.
     void finish(time_point now, row& r);
@@ -188,7 +196,7 @@
                 duration retry_after);
     void leave_ledger(time_point now, row& r);
     void remove(time_point now, row& r);
-    void expire(time_point now, row& r);
+    void expire(time_point now, row& r, int status, std::string reason);
 
     admission& admission_of(std::string const& service);
     void note(std::string kind, request_id const& request, std::string details);
@@ -201,6 +209,7 @@
     upstream_table upstreams_;
     router router_;
     retry_budget retries_;
+    outlier_detector outliers_;
     time_point present_; // of the event in hand, for the ledger's effects
     ledger ledger_;
     attempt_id next_attempt_ = 1;
