--- a/src/net/http_client_test.cpp
+++ b/src/net/http_client_test.cpp
@@ -41,7 +41,7 @@
 struct fixture
 {
     explicit fixture(http_client_limits limits = {})
-        : client({[this](exchange_id e, int status, header_list)
+        : client({[this](exchange_id e, int status, header_list const&)
                   { outcomes[e].status = status; },
                   [this](exchange_id e, std::string const& bytes)
                   { outcomes[e].body += bytes; },
--- /dev/null
+++ b/src/net/json.cpp
@@ -0,0 +1,77 @@
+#include "net/json.hpp"
+
+#include <QJsonDocument>
+
+namespace amarantharch
+{
+
+absl::StatusOr<QJsonObject> parse_json_object(std::string_view text)
+{
+    QJsonParseError error{};
+    QJsonDocument const document = QJsonDocument::fromJson(
+        QByteArray(text.data(), static_cast<qsizetype>(text.size())), &error);
+    if (error.error != QJsonParseError::NoError)
+    {
+        return absl::DataLossError(error.errorString().toStdString());
+    }
+    if (!document.isObject())
+    {
+        return absl::DataLossError("not a JSON object");
+    }
+    return document.object();
+}
+
+std::string to_text(QJsonObject const& object)
+{
+    return QJsonDocument(object).toJson(QJsonDocument::Compact).toStdString();
+}
+
+std::string json_string(QJsonObject const& object, char const* key)
+{
+    return object.value(QLatin1String(key)).toString().toStdString();
+}
+
+std::int64_t json_integer(QJsonObject const& object, char const* key)
+{
+    return object.value(QLatin1String(key)).toInteger();
+}
+
+double json_number(QJsonObject const& object, char const* key)
+{
+    return object.value(QLatin1String(key)).toDouble();
+}
+
+bool json_flag(QJsonObject const& object, char const* key)
+{
+    return object.value(QLatin1String(key)).toBool();
+}
+
+std::vector<QJsonObject> json_objects(QJsonObject const& object,
+                                      char const* key)
+{
+    std::vector<QJsonObject> objects;
+    for (QJsonValue const& element : object.value(QLatin1String(key)).toArray())
+    {
+        if (element.isObject())
+        {
+            objects.push_back(element.toObject());
+        }
+    }
+    return objects;
+}
+
+std::vector<std::string> json_strings(QJsonObject const& object,
+                                      char const* key)
+{
+    std::vector<std::string> strings;
+    for (QJsonValue const& element : object.value(QLatin1String(key)).toArray())
+    {
+        if (element.isString())
+        {
+            strings.push_back(element.toString().toStdString());
+        }
+    }
+    return strings;
+}
+
+} // namespace amarantharch
--- a/src/net/message_session.cpp
+++ b/src/net/message_session.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <array>
-#include <cstring>
 #include <unordered_map>
 #include <utility>
 
@@ -159,7 +158,7 @@
         }
         stream_row& row = found->second;
         std::size_t const size = std::min(length, row.bytes.size() - row.sent);
-        std::memcpy(buffer, row.bytes.data() + row.sent, size);
+        row.bytes.copy(reinterpret_cast<char*>(buffer), size, row.sent);
         row.sent += size;
         if (row.sent == row.bytes.size())
         {
--- a/src/net/message_session_test.cpp
+++ b/src/net/message_session_test.cpp
@@ -18,8 +18,12 @@
     // Carries bytes both ways, `step` at a time, until none are left.
     void exchange(std::size_t step)
     {
-        while (carry(dialer, listener, step) | carry(listener, dialer, step))
+        bool more_bytes = true;
+        while (more_bytes)
         {
+            bool const forth = carry(dialer, listener, step);
+            bool const back = carry(listener, dialer, step);
+            more_bytes = forth || back;
             auto more = listener.take_received();
             received.insert(received.end(), more.begin(), more.end());
             auto settled = dialer.take_results();
--- a/src/net/peer_transport.cpp
+++ b/src/net/peer_transport.cpp
@@ -811,7 +811,7 @@
 absl::Status peer_transport::listen(QHostAddress const& address,
                                     std::uint16_t port)
 {
-    absl::Status const loaded = impl_->reload_certificates();
+    absl::Status loaded = impl_->reload_certificates();
     if (!loaded.ok())
     {
         return loaded;
--- a/src/net/platform_client.hpp
+++ b/src/net/platform_client.hpp
@@ -76,7 +76,8 @@
 
     // Each callback is called exactly once, from the event loop. Errors:
     // Unavailable (not sent), Unknown (sent, no whole answer),
-    // ResourceExhausted (refused, such as no_capacity), DataLoss (malformed).
+    // ResourceExhausted (refused, such as no_capacity), DataLoss (malformed),
+    // Aborted (409 to other calls), NotFound, Internal (any other status).
     void list_vms(callback<std::vector<listed_vm>> done);
     // When the platform will reclaim `vm`; nothing if it will not.
     void notice(std::string const& vm,
