--- a/src/app/server.cpp
+++ b/src/app/server.cpp
@@ -16,12 +16,22 @@
         std::chrono::system_clock::now());
 }
 
+node_options options_of(settings const& options)
+{
+    node_options result;
+    result.requests.vm = options.vm;
+    result.control.vm = options.vm;
+    result.control.uses_log = false;
+    result.settings_site = options.tables;
+    return result;
+}
+
 } // namespace
 
 server::server(settings options)
     : options_(std::move(options)),
-      node_(node_options{options_.vm, options_.failure_domain,
-                         options_.upstreams}),
+      node_(options_of(options_), [this](command const& c)
+            { std::visit([this](auto const& v) { carry_out(v); }, c); }),
       callers_({}, {[this](exchange_id e, call c) { receive(e, std::move(c)); },
                     [this](exchange_id e)
                     {
@@ -77,9 +87,7 @@
 
 void server::tell(event const& what)
 {
-    node_.handle(present(), what,
-                 [this](command const& c)
-                 { std::visit([this](auto const& v) { carry_out(v); }, c); });
+    node_.handle(present(), what);
 }
 
 void server::carry_out(start_attempt const& what)
--- /dev/null
+++ b/src/core/routing.cpp
@@ -0,0 +1,435 @@
+#include "core/routing.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <limits>
+
+namespace amarantharch
+{
+
+namespace
+{
+
+// Cost per millisecond by which the prediction misses the class's target.
+constexpr double lateness_factor = 3;
+
+// An estimate of output where the request names none, in tokens.
+constexpr double default_output_tokens = 128;
+
+// Error of the estimate of an upstream's load, in requests, with a fresh report
+// and for each second of its age.
+constexpr double load_error = 1.5;
+constexpr double load_error_per_second = 1.5;
+
+// Weight of the newest sample in means.
+constexpr double mean_gain = 0.05;
+
+// Bound of the fleet's requests for each of this VM's.
+constexpr double max_all_per_own = 64;
+
+// Changes remembered for an upstream between two of its reports.
+constexpr std::size_t max_recent = 4'096;
+
+double millis_between(time_point from, time_point to)
+{
+    return std::chrono::duration<double, std::milli>(to - from).count();
+}
+
+class_routing const& class_of(routing_options const& options,
+                              request_features const& what)
+{
+    return options.classes[static_cast<std::size_t>(what.priority)];
+}
+
+} // namespace
+
+std::array<router::strategy_row, 4> const router::strategies{{
+    {routing_strategy::predicted, &router::choose_predicted},
+    {routing_strategy::round_robin, &router::choose_round_robin},
+    {routing_strategy::least_in_flight, &router::choose_least_in_flight},
+    {routing_strategy::power_of_two, &router::choose_power_of_two},
+}};
+
+router::router(routing_options options)
+    : options_(options), choose_with_(&router::choose_predicted),
+      random_(options_.seed), cache_(options_.cache_budget_blocks)
+{
+    for (strategy_row const& row : strategies)
+    {
+        if (row.strategy == options_.strategy)
+        {
+            choose_with_ = row.choose;
+        }
+    }
+}
+
+std::optional<choice>
+router::choose(time_point now, request_features const& what,
+               upstream_table const& table,
+               std::vector<upstream_index> const& exclusions)
+{
+    collect_candidates(now, what, table, exclusions);
+    if (candidates_.empty())
+    {
+        return std::nullopt;
+    }
+    return (this->*choose_with_)(now, what, table);
+}
+
+void router::collect_candidates(time_point now, request_features const& what,
+                                upstream_table const& table,
+                                std::vector<upstream_index> const& exclusions)
+{
+    candidates_.clear();
+    auto const& ring = table.ring(what.service);
+    auto const usable = [&](upstream_index index)
+    {
+        upstream_row const& row = table.row(index);
+        return row.takes_work(now) &&
+               (what.version.empty() || row.profile.version == what.version) &&
+               std::find(exclusions.begin(), exclusions.end(), index) ==
+                   exclusions.end();
+    };
+    auto const collected = [&](upstream_index index)
+    {
+        return std::any_of(candidates_.begin(), candidates_.end(),
+                           [index](candidate const& c)
+                           { return c.upstream == index; });
+    };
+    // Walks the ring once from the first point at or after `hash` and takes
+    // usable upstreams until there are `enough`.
+    auto const walk = [&](std::uint64_t hash, std::size_t enough, bool home)
+    {
+        auto const first = std::partition_point(ring.begin(), ring.end(),
+                                                [hash](auto const& point)
+                                                { return point.hash < hash; });
+        auto const start = static_cast<std::size_t>(first - ring.begin());
+        for (std::size_t i = 0; i < ring.size(); ++i)
+        {
+            if (candidates_.size() >= enough)
+            {
+                return;
+            }
+            upstream_index const index =
+                ring[(start + i) % ring.size()].upstream;
+            if (usable(index) && !collected(index))
+            {
+                candidates_.push_back({index, home});
+            }
+        }
+    };
+    if (!what.prefix.empty())
+    {
+        walk(what.prefix.front(), options_.home_candidates, true);
+    }
+    walk(options_.seed * 0x9E3779B97F4A7C15u, options_.max_candidates, false);
+}
+
+std::optional<choice> router::choose_predicted(time_point now,
+                                               request_features const& what,
+                                               upstream_table const& table)
+{
+    class_routing const& bounds = class_of(options_, what);
+    learn_fleet_size(table);
+    double total_load = 0;
+    for (candidate const& c : candidates_)
+    {
+        total_load += load_of(c.upstream, table.row(c.upstream));
+    }
+    double const bound =
+        options_.affinity_load_bound *
+            (total_load / static_cast<double>(candidates_.size())) +
+        0.5;
+    std::optional<choice> best;
+    double best_cost = std::numeric_limits<double>::infinity();
+    for (std::size_t i = 0; i < candidates_.size(); ++i)
+    {
+        candidate const& c = candidates_[i];
+        upstream_row const& row = table.row(c.upstream);
+        bool const affinity = load_of(c.upstream, row) <= bound;
+        choice const option = describe(now, what, table, c.upstream, affinity);
+        double cost = option.predicted_ms;
+        cost += row.profile.price_per_hour * bounds.ms_per_price;
+        cost += lateness_factor *
+                std::max(0.0, cost - bounds.first_token_target_ms);
+        if (affinity && c.home && option.predicted_cached_tokens == 0)
+        {
+            // The nearer home is preferred, so that prefixes gather.
+            double const rank = static_cast<double>(i + 1);
+            cost -= options_.home_discount / rank * what.prompt_tokens /
+                    row.profile.prefill_tokens_per_ms;
+        }
+        if (cost < best_cost)
+        {
+            best_cost = cost;
+            best = option;
+        }
+    }
+    return best;
+}
+
+std::optional<choice> router::choose_round_robin(time_point now,
+                                                 request_features const& what,
+                                                 upstream_table const& table)
+{
+    candidate const& c = candidates_[turns_ % candidates_.size()];
+    ++turns_;
+    return describe(now, what, table, c.upstream, true);
+}
+
+std::optional<choice>
+router::choose_least_in_flight(time_point now, request_features const& what,
+                               upstream_table const& table)
+{
+    // Ties are broken by turns, not by place.
+    std::size_t const start = turns_++ % candidates_.size();
+    upstream_index best = candidates_[start].upstream;
+    for (std::size_t i = 1; i < candidates_.size(); ++i)
+    {
+        upstream_index const other =
+            candidates_[(start + i) % candidates_.size()].upstream;
+        if (table.row(other).in_flight < table.row(best).in_flight)
+        {
+            best = other;
+        }
+    }
+    return describe(now, what, table, best, true);
+}
+
+std::optional<choice> router::choose_power_of_two(time_point now,
+                                                  request_features const& what,
+                                                  upstream_table const& table)
+{
+    upstream_index const a =
+        candidates_[random_() % candidates_.size()].upstream;
+    upstream_index const b =
+        candidates_[random_() % candidates_.size()].upstream;
+    bool const first = table.row(a).in_flight <= table.row(b).in_flight;
+    return describe(now, what, table, first ? a : b, true);
+}
+
+choice router::describe(time_point now, request_features const& what,
+                        upstream_table const& table, upstream_index upstream,
+                        bool affinity) const
+{
+    upstream_row const& row = table.row(upstream);
+    double cached = 0;
+    if (affinity)
+    {
+        cached = static_cast<double>(
+                     cache_.predicted_blocks(upstream, what.prefix)) *
+                 tokens_per_block * cache_.confidence(upstream);
+    }
+    cached = std::min(cached, static_cast<double>(what.prompt_tokens));
+    double const work =
+        queued_tokens(now, upstream, row) + what.prompt_tokens - cached;
+    choice result;
+    result.upstream = upstream;
+    result.predicted_cached_tokens = static_cast<std::uint32_t>(cached);
+    result.predicted_ms = work / row.profile.prefill_tokens_per_ms +
+                          slot_wait_ms(now, upstream, row);
+    return result;
+}
+
+double router::queued_tokens(time_point now, upstream_index upstream,
+                             upstream_row const& row) const
+{
+    double const rate = row.profile.prefill_tokens_per_ms;
+    sent_work const none;
+    sent_work const& own = upstream < sent_.size() ? sent_[upstream] : none;
+    double const own_waiting = static_cast<double>(own.awaiting_tokens);
+    if (!row.report)
+    {
+        return own_waiting;
+    }
+    double const age = millis_between(row.report->measured_at, now);
+    double const known =
+        static_cast<double>(row.report->queued_prefill_tokens) +
+        static_cast<double>(own.tokens_since_report) * fleet_factor();
+    return std::max(own_waiting, known - age * rate);
+}
+
+double router::requests_at(upstream_index upstream,
+                           upstream_row const& row) const
+{
+    double const own = row.in_flight;
+    if (!row.report)
+    {
+        return own;
+    }
+    int const since =
+        upstream < sent_.size() ? sent_[upstream].in_flight_since_report : 0;
+    double const reported = row.report->running + row.report->waiting;
+    return std::max(own, reported + since * fleet_factor());
+}
+
+double router::load_of(upstream_index upstream, upstream_row const& row) const
+{
+    return requests_at(upstream, row) / std::max(1u, row.profile.slots);
+}
+
+double router::slot_wait_ms(time_point now, upstream_index upstream,
+                            upstream_row const& row) const
+{
+    double const slots = std::max(1u, row.profile.slots);
+    double const known_hold =
+        upstream < sent_.size() ? sent_[upstream].mean_hold_ms : 0;
+    double const hold = known_hold > 0 ? known_hold
+                                       : default_output_tokens *
+                                             row.profile.ms_per_output_token;
+    double const age_seconds =
+        row.report ? millis_between(row.report->measured_at, now) / 1'000 : 0;
+    double const error = load_error + load_error_per_second * age_seconds;
+    // Expected number of requests that must end first: a smooth max(0, x).
+    double const excess = (requests_at(upstream, row) + 1 - slots) / error;
+    double const before =
+        excess > 30 ? excess * error : error * std::log1p(std::exp(excess));
+    return before * hold / slots;
+}
+
+double router::fleet_factor() const
+{
+    return 1 + (all_per_own_ - 1) * options_.herd_share;
+}
+
+void router::learn_fleet_size(upstream_table const& table)
+{
+    double own = 0;
+    double all = 0;
+    for (candidate const& c : candidates_)
+    {
+        upstream_row const& row = table.row(c.upstream);
+        own += row.in_flight;
+        all += row.report ? row.report->running + row.report->waiting : 0;
+    }
+    if (own > 0)
+    {
+        double const sample = std::clamp(all / own, 1.0, max_all_per_own);
+        all_per_own_ += mean_gain * (sample - all_per_own_);
+    }
+}
+
+void router::on_sent(time_point now, attempt_id attempt,
+                     request_features const& what, choice const& picked,
+                     upstream_table& table)
+{
+    upstream_row& row = table.row(picked.upstream);
+    std::uint32_t const uncached =
+        what.prompt_tokens -
+        std::min(what.prompt_tokens, picked.predicted_cached_tokens);
+    auto const [place, added] = attempts_.try_emplace(attempt);
+    if (!added)
+    {
+        return;
+    }
+    attempt_row& sent = place->second;
+    sent.upstream = picked.upstream;
+    sent.sent_at = now;
+    sent.uncached_tokens = uncached;
+    sent.predicted_cached_tokens = static_cast<std::uint32_t>(
+        cache_.predicted_blocks(picked.upstream, what.prefix) *
+        tokens_per_block);
+    ++row.in_flight;
+    sent_work& own = work_at(picked.upstream);
+    own.awaiting_tokens += uncached;
+    add_change(own, {now, uncached, 1});
+    cache_.on_sent(picked.upstream, what.prefix);
+}
+
+void router::on_first_token(attempt_id attempt,
+                            std::optional<std::uint32_t> cached_tokens)
+{
+    auto const known = attempts_.find(attempt);
+    if (known == attempts_.end() || known->second.first_token_seen)
+    {
+        return;
+    }
+    attempt_row& row = known->second;
+    row.first_token_seen = true;
+    work_at(row.upstream).awaiting_tokens -= row.uncached_tokens;
+    if (cached_tokens)
+    {
+        cache_.on_reported(row.upstream,
+                           row.predicted_cached_tokens / tokens_per_block,
+                           *cached_tokens / tokens_per_block);
+    }
+}
+
+void router::on_end(time_point now, attempt_id attempt, upstream_table& table)
+{
+    auto const known = attempts_.find(attempt);
+    if (known == attempts_.end())
+    {
+        return;
+    }
+    on_first_token(attempt, std::nullopt);
+    attempt_row const& ended = known->second;
+    --table.row(ended.upstream).in_flight;
+    sent_work& own = work_at(ended.upstream);
+    add_change(own, {now, 0, -1});
+    double const held = millis_between(ended.sent_at, now);
+    double const gain = own.mean_hold_ms == 0 ? 1 : mean_gain;
+    own.mean_hold_ms += gain * (held - own.mean_hold_ms);
+    attempts_.erase(known);
+}
+
+void router::add_change(sent_work& own, recent_change const& change)
+{
+    own.recent.push_back(change);
+    own.tokens_since_report += change.tokens;
+    own.in_flight_since_report += change.in_flight;
+    if (own.recent.size() > max_recent)
+    {
+        drop_oldest(own);
+    }
+}
+
+void router::on_report(upstream_index upstream, upstream_report const& report,
+                       upstream_table& table)
+{
+    upstream_row& row = table.row(upstream);
+    if (row.report && row.report->measured_at >= report.measured_at)
+    {
+        return;
+    }
+    row.report = report;
+    sent_work& own = work_at(upstream);
+    while (!own.recent.empty() && own.recent.front().at <= report.measured_at)
+    {
+        drop_oldest(own);
+    }
+}
+
+void router::drop_oldest(sent_work& own)
+{
+    own.tokens_since_report -= own.recent.front().tokens;
+    own.in_flight_since_report -= own.recent.front().in_flight;
+    own.recent.pop_front();
+}
+
+void router::on_cache_events(upstream_index upstream,
+                             cache_events const& events)
+{
+    cache_.on_events(upstream, events);
+}
+
+void router::on_upstream_reset(upstream_index upstream)
+{
+    cache_.forget(upstream);
+    sent_work& own = work_at(upstream);
+    own.recent.clear();
+    own.tokens_since_report = 0;
+    own.in_flight_since_report = 0;
+}
+
+router::sent_work& router::work_at(upstream_index upstream)
+{
+    if (upstream >= sent_.size())
+    {
+        sent_.resize(upstream + 1);
+    }
+    return sent_[upstream];
+}
+
+} // namespace amarantharch
