--- a/src/net/json.cpp
+++ b/src/net/json.cpp
@@ -50,7 +50,7 @@
                                       char const* key)
 {
     std::vector<QJsonObject> objects;
-    for (QJsonValue const& element : object.value(QLatin1String(key)).toArray())
+    for (auto const& element : object.value(QLatin1String(key)).toArray())
     {
         if (element.isObject())
         {
@@ -64,7 +64,7 @@
                                       char const* key)
 {
     std::vector<std::string> strings;
-    for (QJsonValue const& element : object.value(QLatin1String(key)).toArray())
+    for (auto const& element : object.value(QLatin1String(key)).toArray())
     {
         if (element.isString())
         {
