publish and keys: signed changes of the configuration, keys of VMs and publishers

A change carries an Ed25519 signature of its author, whom VMs know by [publisher NAME] in their settings. GET /configuration and POST /publish of the admin port show the revision in force and take a change; a repeat of the same id is answered with what became of the first.

--- a/src/app/admin_client.cpp
+++ b/src/app/admin_client.cpp
@@ -10,6 +10,15 @@
 namespace amarantharch
 {
 
+namespace options = boost::program_options;
+
+namespace
+{
+
+constexpr int first_failure_status = 300;
+
+} // namespace
+
 absl::StatusOr<fetched> fetch(std::string const& address, call const& request,
                               duration timeout)
 {
@@ -47,4 +56,50 @@
     return answer;
 }
 
+absl::StatusOr<std::string> fetch_body(std::string const& address,
+                                       call const& request, duration timeout)
+{
+    auto answer = fetch(address, request, timeout);
+    if (!answer.ok())
+    {
+        return answer.status();
+    }
+    if (answer->status >= first_failure_status)
+    {
+        return absl::FailedPreconditionError(fmt::format(
+            "{} answered {}: {}", address, answer->status, answer->body));
+    }
+    return std::move(answer->body);
+}
+
+void sleep_for(duration time)
+{
+    QEventLoop loop;
+    QTimer::singleShot(
+        std::chrono::duration_cast<std::chrono::milliseconds>(time), &loop,
+        &QEventLoop::quit);
+    (void)loop.exec();
+}
+
+void describe_admins(options::options_description& known)
+{
+    auto add = known.add_options();
+    (void)add(
+        "admin",
+        options::value<std::vector<std::string>>()->required()->composing(),
+        "IP:PORT of a VM's admin port; may be repeated");
+    (void)add("timeout-ms", options::value<std::int64_t>()->default_value(2000),
+              "time for each VM to answer");
+}
+
+std::vector<std::string> admins_of(options::variables_map const& given)
+{
+    return given["admin"].as<std::vector<std::string>>();
+}
+
+duration timeout_of(options::variables_map const& given)
+{
+    return std::chrono::milliseconds(given["timeout-ms"].as<std::int64_t>());
+}
+
 } // namespace amarantharch
--- a/src/app/admin_client.hpp
+++ b/src/app/admin_client.hpp
@@ -11,7 +11,10 @@
 
 #include <absl/status/statusor.h>
 
+#include <boost/program_options.hpp>
+
 #include <string>
+#include <vector>
 
 namespace amarantharch
 {
@@ -27,6 +30,19 @@
 absl::StatusOr<fetched> fetch(std::string const& address, call const& request,
                               duration timeout);
 
+// The body of an answer of status 2xx; else why there is none.
+absl::StatusOr<std::string> fetch_body(std::string const& address,
+                                       call const& request, duration timeout);
+
+// Runs the event loop for `time`.
+void sleep_for(duration time);
+
+// The options of every command that speaks to admin ports, and their values.
+void describe_admins(boost::program_options::options_description& options);
+std::vector<std::string>
+admins_of(boost::program_options::variables_map const& given);
+duration timeout_of(boost::program_options::variables_map const& given);
+
 } // namespace amarantharch
 
 #endif
--- a/src/app/admin_server.cpp
+++ b/src/app/admin_server.cpp
@@ -17,6 +17,12 @@
 constexpr std::string_view drain_timeout_key = "timeout_ms=";
 constexpr std::string_view json_type = "application/json";
 
+struct request_parts
+{
+    std::string_view query;
+    std::string const& body;
+};
+
 admin_answer json(int status, std::string body)
 {
     return {status, std::string(json_type), std::move(body)};
@@ -27,12 +33,12 @@
     return json(status, fmt::format("{{\"error\":\"{}\"}}\n", what));
 }
 
-admin_answer health(admin_callbacks const&, std::string_view)
+admin_answer health(admin_callbacks const&, request_parts const&)
 {
     return json(200, "{\"healthy\":true}\n");
 }
 
-admin_answer ready(admin_callbacks const& callbacks, std::string_view)
+admin_answer ready(admin_callbacks const& callbacks, request_parts const&)
 {
     if (!callbacks.ready)
     {
@@ -55,23 +61,27 @@
     return {200, std::string(content_type), callback()};
 }
 
-admin_answer status(admin_callbacks const& callbacks, std::string_view)
+admin_answer status(admin_callbacks const& callbacks, request_parts const&)
 {
     return shown(callbacks.status, json_type);
 }
 
-admin_answer timeline_text(admin_callbacks const& callbacks, std::string_view)
+admin_answer timeline_text(admin_callbacks const& callbacks,
+                           request_parts const&)
 {
     return shown(callbacks.timeline, json_type);
 }
 
-admin_answer metrics_text(admin_callbacks const& callbacks, std::string_view)
+admin_answer metrics_text(admin_callbacks const& callbacks,
+                          request_parts const&)
 {
     return shown(callbacks.metrics, "text/plain; version=0.0.4");
 }
 
-admin_answer drain(admin_callbacks const& callbacks, std::string_view query)
+admin_answer drain(admin_callbacks const& callbacks,
+                   request_parts const& request)
 {
+    std::string_view query = request.query;
     if (!callbacks.drain)
     {
         return error(501, "not available");
@@ -95,17 +105,36 @@
     return json(202, "{\"draining\":true}\n");
 }
 
+admin_answer configuration_in_force(admin_callbacks const& callbacks,
+                                    request_parts const&)
+{
+    return callbacks.configuration ? callbacks.configuration()
+                                   : error(501, "not available");
+}
+
+admin_answer publish(admin_callbacks const& callbacks,
+                     request_parts const& request)
+{
+    return callbacks.publish ? callbacks.publish(request.body)
+                             : error(501, "not available");
+}
+
 struct endpoint_row
 {
     std::string_view method;
     std::string_view path;
-    admin_answer (*answer)(admin_callbacks const&, std::string_view query);
+    admin_answer (*answer)(admin_callbacks const&, request_parts const&);
 };
 
 constexpr endpoint_row endpoints[] = {
-    {"GET", "/health", health},        {"GET", "/ready", ready},
-    {"GET", "/status", status},        {"GET", "/timeline", timeline_text},
-    {"GET", "/metrics", metrics_text}, {"POST", "/drain", drain},
+    {"GET", "/health", health},
+    {"GET", "/ready", ready},
+    {"GET", "/status", status},
+    {"GET", "/timeline", timeline_text},
+    {"GET", "/metrics", metrics_text},
+    {"POST", "/drain", drain},
+    {"GET", "/configuration", configuration_in_force},
+    {"POST", "/publish", publish},
 };
 
 } // namespace
@@ -123,7 +152,7 @@
         if (row.path == path)
         {
             return row.method == request.method
-                       ? row.answer(callbacks, query)
+                       ? row.answer(callbacks, {query, request.body})
                        : error(405, fmt::format("{} expected", row.method));
         }
     }
--- a/src/app/admin_server.hpp
+++ b/src/app/admin_server.hpp
@@ -3,8 +3,10 @@
 // GET /health answers 200 while the event loop runs. GET /ready answers 200
 // or 503 with the reason. GET /status, /timeline and /metrics return what the
 // callbacks give. POST /drain?timeout_ms=N starts a graceful shutdown and
-// answers 202 at once. Other methods get 405, other paths 404, and a callback
-// that is not set 501, all as JSON {"error":"…"}.
+// answers 202 at once. GET /configuration shows the revision in force and
+// POST /publish takes a change: see publish_admin.hpp. Other methods get 405,
+// other paths 404, and a callback that is not set 501, all as JSON
+// {"error":"…"}.
 #ifndef AMARANTHARCH_APP_ADMIN_SERVER_HPP
 #define AMARANTHARCH_APP_ADMIN_SERVER_HPP
 
@@ -26,6 +28,13 @@
     std::string reason; // why not; a stable word such as "draining"
 };
 
+struct admin_answer
+{
+    int status;
+    std::string content_type;
+    std::string body;
+};
+
 // The parts of the process that the endpoints show or steer.
 struct admin_callbacks
 {
@@ -35,13 +44,8 @@
     std::function<std::string()> metrics;  // exposition text
     // Stop within `timeout`; zero means the drain_timeout of the settings.
     std::function<void(duration timeout)> drain;
-};
-
-struct admin_answer
-{
-    int status;
-    std::string content_type;
-    std::string body;
+    std::function<admin_answer()> configuration = nullptr;
+    std::function<admin_answer(std::string const& body)> publish = nullptr;
 };
 
 // What `request` gets. Separate from the sockets so that it can be tested
--- a/src/app/commands.cpp
+++ b/src/app/commands.cpp
@@ -131,9 +131,10 @@
 std::vector<command_row> all_commands()
 {
     std::vector<command_row> commands = vm_commands();
-    for (command_row const& row : operator_commands())
+    for (auto const& rows :
+         {operator_commands(), publish_commands(), key_commands()})
     {
-        commands.push_back(row);
+        commands.insert(commands.end(), rows.begin(), rows.end());
     }
     return commands;
 }
--- a/src/app/commands.hpp
+++ b/src/app/commands.hpp
@@ -10,9 +10,15 @@
 // serve, check, version: this VM's own process and files.
 std::vector<command_row> vm_commands();
 
-// status, timeline, drain, publish: running VMs, through their admin ports.
+// status, timeline, drain: running VMs, through their admin ports.
 std::vector<command_row> operator_commands();
 
+// publish: the configuration of the fleet.
+std::vector<command_row> publish_commands();
+
+// keys: certificates of VMs and keys of publishers.
+std::vector<command_row> key_commands();
+
 } // namespace amarantharch
 
 #endif
--- a/src/app/operator_commands.cpp
+++ b/src/app/operator_commands.cpp
@@ -4,14 +4,8 @@
 #include "app/log.hpp"
 #include "app/timeline.hpp"
 
-#include <QEventLoop>
-#include <QTimer>
-
 #include <fmt/format.h>
 
-#include <fstream>
-#include <iterator>
-
 namespace amarantharch
 {
 
@@ -22,52 +16,14 @@
 
 constexpr duration poll_interval = std::chrono::milliseconds(100);
 
-void add_admins(options::options_description& known)
-{
-    auto add = known.add_options();
-    (void)add(
-        "admin",
-        options::value<std::vector<std::string>>()->required()->composing(),
-        "IP:PORT of a VM's admin port; may be repeated");
-    (void)add("timeout-ms", options::value<std::int64_t>()->default_value(2000),
-              "time for each VM to answer");
-}
-
-std::vector<std::string> admins(options::variables_map const& given)
-{
-    return given["admin"].as<std::vector<std::string>>();
-}
-
-duration timeout(options::variables_map const& given)
-{
-    return std::chrono::milliseconds(given["timeout-ms"].as<std::int64_t>());
-}
-
 call get(std::string target)
 {
     return {"", "GET", std::move(target), {}, ""};
 }
 
-// The answer's body, or why there is none.
-absl::StatusOr<std::string> body_of(std::string const& address,
-                                    call const& request, duration wait)
-{
-    auto const answer = fetch(address, request, wait);
-    if (!answer.ok())
-    {
-        return answer.status();
-    }
-    if (answer->status >= 300)
-    {
-        return absl::FailedPreconditionError(fmt::format(
-            "{} answered {}: {}", address, answer->status, answer->body));
-    }
-    return answer->body;
-}
-
 void describe_status(options::options_description& known)
 {
-    add_admins(known);
+    describe_admins(known);
     (void)known.add_options()("json", "print a JSON array, one row per VM");
 }
 
@@ -93,9 +49,10 @@
     bool const json = given.count("json") != 0;
     bool all_answered = true;
     std::string rows;
-    for (std::string const& address : admins(given))
+    for (std::string const& address : admins_of(given))
     {
-        auto const body = body_of(address, get("/status"), timeout(given));
+        auto const body =
+            fetch_body(address, get("/status"), timeout_of(given));
         all_answered = all_answered && body.ok();
         rows += json && !rows.empty() ? "," : "";
         rows += status_row(address, body, json);
@@ -106,7 +63,7 @@
 
 void describe_timeline(options::options_description& known)
 {
-    add_admins(known);
+    describe_admins(known);
     auto add = known.add_options();
     (void)add("request", options::value<std::string>(),
               "only the entries of this request id");
@@ -144,7 +101,7 @@
 absl::StatusOr<std::vector<timeline_entry>>
 fetch_timeline(std::string const& address, duration wait)
 {
-    auto const body = body_of(address, get("/timeline"), wait);
+    auto const body = fetch_body(address, get("/timeline"), wait);
     if (!body.ok())
     {
         return body.status();
@@ -163,9 +120,9 @@
     }
     std::vector<std::vector<timeline_entry>> parts;
     bool all_answered = true;
-    for (std::string const& address : admins(given))
+    for (std::string const& address : admins_of(given))
     {
-        auto part = fetch_timeline(address, timeout(given));
+        auto part = fetch_timeline(address, timeout_of(given));
         if (!part.ok())
         {
             all_answered = false;
@@ -187,7 +144,7 @@
 
 void describe_drain(options::options_description& known)
 {
-    add_admins(known);
+    describe_admins(known);
     auto add = known.add_options();
     (void)add("within-ms", options::value<std::int64_t>()->default_value(0),
               "when requests in progress are handed on or ended; 0: the VM's "
@@ -196,15 +153,6 @@
               "wait so long for the VMs to be gone; 0: do not wait");
 }
 
-void sleep_for(duration time)
-{
-    QEventLoop loop;
-    QTimer::singleShot(
-        std::chrono::duration_cast<std::chrono::milliseconds>(time), &loop,
-        &QEventLoop::quit);
-    (void)loop.exec();
-}
-
 // Whether the VM at `address` is gone by `wait` from now.
 bool wait_until_gone(std::string const& address, duration wait)
 {
@@ -231,9 +179,9 @@
     duration const wait =
         std::chrono::milliseconds(given["wait-ms"].as<std::int64_t>());
     bool all_done = true;
-    for (std::string const& address : admins(given))
+    for (std::string const& address : admins_of(given))
     {
-        auto const body = body_of(address, order, timeout(given));
+        auto const body = fetch_body(address, order, timeout_of(given));
         bool const gone = body.ok() && (wait == duration::zero() ||
                                         wait_until_gone(address, wait));
         all_done = all_done && gone;
@@ -246,55 +194,6 @@
     return all_done ? exit_success : exit_fault;
 }
 
-void describe_publish(options::options_description& known)
-{
-    add_admins(known);
-    auto add = known.add_options();
-    (void)add("base", options::value<std::uint64_t>(),
-              "the revision that the change was written against");
-    (void)add("id", options::value<std::string>(),
-              "name of this publication; repeat it to ask again safely");
-    (void)add("credential", options::value<std::string>()->default_value(""),
-              "the publisher's credential");
-    (void)add("dry-run", "only show what the change would touch");
-}
-
-// The change goes to a VM, which checks it, appends it to the log and tells
-// what became of it: it is the one that reads the log.
-int publish(options::variables_map const& given)
-{
-    auto const files = operands_of(given);
-    if (files.size() != 1)
-    {
-        fmt::print(stderr, "amarantharch publish: expected one FILE\n");
-        return exit_usage;
-    }
-    std::ifstream input(files[0], std::ios::binary);
-    if (!input)
-    {
-        fmt::print(stderr, "{}: cannot be read\n", files[0]);
-        return exit_fault;
-    }
-    call request{"", "POST", "/publish", {}, ""};
-    request.body.assign(std::istreambuf_iterator<char>(input), {});
-    std::string query = given.count("dry-run") != 0 ? "dry_run=1" : "dry_run=0";
-    if (given.count("base") != 0)
-    {
-        query += fmt::format("&base={}", given["base"].as<std::uint64_t>());
-    }
-    if (given.count("id") != 0)
-    {
-        query += "&id=" + given["id"].as<std::string>();
-    }
-    request.target += "?" + query;
-    request.headers.push_back(
-        {"Authorization", given["credential"].as<std::string>()});
-    auto const body = body_of(admins(given).front(), request, timeout(given));
-    fmt::print("{}\n",
-               body.ok() ? *body : std::string(body.status().message()));
-    return body.ok() ? exit_success : exit_fault;
-}
-
 } // namespace
 
 std::vector<command_row> operator_commands()
@@ -316,12 +215,6 @@
          "process ends when\nthe last request has its answer or --within-ms "
          "is over.",
          describe_drain, drain},
-        {"publish", "FILE",
-         "Publish a change of the configuration.\n"
-         "The VM checks the change in FILE as every reader will and appends it "
-         "to the log.\nThe answer says what became of it; repeating with the "
-         "same --id is safe.",
-         describe_publish, publish},
     };
 }
 
--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -37,10 +37,16 @@
     std::string* text;
 };
 
+// The value of a public key is checked to be hexadecimal.
+struct public_key_target
+{
+    std::string* text;
+};
+
 using target =
-    std::variant<std::string*, address_target, std::uint16_t*, std::uint8_t*,
-                 std::uint32_t*, std::uint64_t*, double*, duration*, bool*,
-                 upstream_kind*, log_level*>;
+    std::variant<std::string*, address_target, public_key_target,
+                 std::uint16_t*, std::uint8_t*, std::uint32_t*, std::uint64_t*,
+                 double*, duration*, bool*, upstream_kind*, log_level*>;
 
 struct key_row
 {
@@ -90,6 +96,10 @@
      "makes the files."},
     {"limits", nullptr, "What callers may send, and how long they may take."},
     {"memory", nullptr, "Budgets; what would exceed one is refused."},
+    {"publisher",
+     [](settings& s, std::string name)
+     { s.publishers.emplace_back().name = std::move(name); },
+     "One who may publish configuration changes. May be repeated."},
     {"upstream",
      [](settings& s, std::string name)
      { s.tables.upstreams.push_back(upstream_called(std::move(name))); },
@@ -106,6 +116,7 @@
 };
 
 constexpr double any = std::numeric_limits<double>::max();
+constexpr std::size_t public_key_digits = 64;
 constexpr double most_port = 65535;
 constexpr double most_bytes = double{1ULL << 40};
 constexpr double most_milliseconds = 24.0 * 3600 * 1000;
@@ -187,6 +198,10 @@
     {"memory", "timeline_bytes", "bytes", 1 << 12, most_bytes, false,
      [](settings& s) -> target { return &s.memory.timeline_bytes; },
      "The newest entries of the time line."},
+    {"publisher", "public_key", "", 0, any, true,
+     [](settings& s) -> target
+     { return public_key_target{&s.publishers.back().public_key}; },
+     "Its public key, which `amarantharch keys publisher` prints."},
     {"upstream", "address", "", 0, any, true,
      [](settings& s) -> target
      { return address_target{&s.tables.upstreams.back().address}; },
@@ -290,6 +305,10 @@
     {
         return "IP:PORT";
     }
+    std::string operator()(public_key_target) const
+    {
+        return fmt::format("{} hexadecimal digits", public_key_digits);
+    }
     std::string operator()(std::uint16_t*) const
     {
         return range("an integer");
@@ -358,6 +377,12 @@
                !QHostAddress(QString::fromStdString(text.substr(0, colon)))
                     .isNull();
     }
+    bool operator()(public_key_target value) const
+    {
+        *value.text = text;
+        return text.size() == public_key_digits &&
+               text.find_first_not_of("0123456789abcdef") == std::string::npos;
+    }
     bool operator()(double* value) const
     {
         return absl::SimpleAtod(text, value) && *value >= row.least &&
@@ -432,6 +457,10 @@
     {
         return *value.text;
     }
+    std::string operator()(public_key_target value) const
+    {
+        return *value.text;
+    }
     std::string operator()(duration const* value) const
     {
         return fmt::to_string(to_millis(*value));
--- a/src/app/settings.hpp
+++ b/src/app/settings.hpp
@@ -54,6 +54,13 @@
     std::uint64_t timeline_bytes = std::uint64_t{4} << 20;
 };
 
+// [publisher NAME]: one who may publish configuration changes.
+struct publisher_settings
+{
+    std::string name;
+    std::string public_key; // Ed25519, 64 hexadecimal digits
+};
+
 struct settings
 {
     // [vm]
@@ -73,6 +80,8 @@
     limit_settings limits;
     memory_settings memory;
 
+    std::vector<publisher_settings> publishers;
+
     // [upstream NAME], [route NAME], [organisation NAME]: in force until a
     // configuration revision is known. An upstream without a service, and a
     // route without one, have the service "default".
--- a/src/app/settings_test.cpp
+++ b/src/app/settings_test.cpp
@@ -77,6 +77,9 @@
     {"[organisation a]\nkey_digest = x\nweight = 0",
      "f.ini:6: [organisation a] weight: expected a number from 0.001 to 1000; "
      "found \"0\""},
+    {"[publisher a]\npublic_key = 12",
+     "f.ini:5: [publisher a] public_key: expected 64 hexadecimal digits; "
+     "found \"12\""},
     {"[tls]\nca = x",
      "f.ini: [tls]: expected all of ca, certificate, key, or none"},
 };
