--- a/src/bench/policy_bench_world.cpp
+++ b/src/bench/policy_bench_world.cpp
@@ -183,7 +183,7 @@
             admission_options admitting;
             admitting.limit.initial = slots / options_.vms;
             admitting.limit.floor = admitting.limit.initial * 3 / 4;
-            admitting.limit.ceiling = admitting.limit.initial * 5 / 4;
+            admitting.limit.ceiling = admitting.limit.initial;
             vm->doors.emplace(service,
                               door_state{admission(admitting),
                                          {slots / options_.vms, 0, {}}});
--- a/src/core/admission.hpp
+++ b/src/core/admission.hpp
@@ -70,7 +70,7 @@
          {std::chrono::milliseconds(15'000),
           std::chrono::milliseconds(5'000)}}};
     double max_interactive_reserve = 0.35;
-    double fair_headroom = 0.1;
+    double fair_headroom = 0.15;
     duration activity_window = std::chrono::seconds(10);
     // After this time without a message a peer's requests are left out.
     duration peer_memory = std::chrono::seconds(3);
