--- a/src/core/configuration_store_test.cpp
+++ b/src/core/configuration_store_test.cpp
@@ -95,6 +95,31 @@
            to_text(a.sections()) == to_text(b.sections());
 }
 
+using store_state = std::pair<revision, std::string>;
+
+store_state state_of(configuration_store const& store)
+{
+    return {store.in_force(), to_text(store.sections())};
+}
+
+// A reader of the whole stream, and its state before each offset.
+struct reference
+{
+    vm reader{"reference"};
+    std::vector<store_state> states{{}, {}}; // states[next_offset]
+
+    store_state const& at(stream log, log_offset next)
+    {
+        log.first_retained = 1;
+        while (states.size() <= next)
+        {
+            reader.read(log, 1);
+            states.push_back(state_of(reader.store));
+        }
+        return states[next];
+    }
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(operators_who_race)
@@ -429,6 +454,7 @@
         std::vector<std::string> delayed;
         std::vector<vm> vms;
         std::vector<revision> highest(4);
+        reference history;
         for (std::size_t i = 0; i < 4; ++i)
         {
             vms.emplace_back("vm-" + std::to_string(i));
--- a/src/core/gossip.hpp
+++ b/src/core/gossip.hpp
@@ -98,6 +98,7 @@
     soft_kind kind = soft_kind::upstream_health;
     std::string subject;
     std::string origin; // empty for soft_scope::fleet
+    // NOLINTNEXTLINE(modernize-use-nullptr): false alarm on rewritten uses
     auto operator<=>(soft_key const&) const = default;
 };
 
@@ -194,6 +195,7 @@
         bool calm; // urgent rows sort first
         int sent;
         soft_key key;
+        // NOLINTNEXTLINE(modernize-use-nullptr): false alarm on rewritten uses
         auto operator<=>(hot_key const&) const = default;
     };
 
