--- a/src/standin/http_front.cpp
+++ b/src/standin/http_front.cpp
@@ -2,7 +2,7 @@
 
 #include <cstdlib>
 
-namespace amarantharch
+namespace amarantharch::standin
 {
 
 namespace
@@ -76,7 +76,7 @@
 
 void http_front::carry_out(reply_cut const& what)
 {
-    server_.abort(what.exchange);
+    server_.answer_abort(what.exchange);
 }
 
 void http_front::carry_out(reply_crash const&)
@@ -84,4 +84,4 @@
     std::_Exit(crash_exit_status);
 }
 
-} // namespace amarantharch
+} // namespace amarantharch::standin
