--- a/src/core/membership_test.cpp
+++ b/src/core/membership_test.cpp
@@ -416,6 +416,39 @@
     }
 }
 
+// The process stops with a probe under way and a suspect; on waking, its first
+// tick comes before it has read what waits in its sockets.
+BOOST_AUTO_TEST_CASE(are_not_judged_by_a_process_that_was_frozen_itself)
+{
+    for (auto const thaw_after :
+         {std::chrono::milliseconds(100), std::chrono::milliseconds(1500)})
+    {
+        fleet f(3);
+        f.run(seconds(10));
+        f.cut = [](auto, auto to)
+        {
+            return to == 0;
+        }; // answers do not arrive
+        f.run(thaw_after);
+        while (f.seen(0, 1) != member_state::suspect)
+        {
+            f.run(step);
+        }
+        f.cut = [](auto, auto)
+        {
+            return false;
+        };
+        f.wires.clear();
+        f.changes[0].clear();
+        f.now += minutes(5);
+        f.vms[0]->tick(f.now, f.sink(0));
+        BOOST_CHECK(f.vms[0]->take_changes().empty());
+        f.run(seconds(30));
+        BOOST_CHECK(f.all_see(1, member_state::live));
+        BOOST_CHECK(!f.anyone_was_gone());
+    }
+}
+
 BOOST_AUTO_TEST_CASE(survive_the_freeze_of_all)
 {
     fleet f(8);
