--- a/src/app/server.cpp
+++ b/src/app/server.cpp
@@ -2,6 +2,8 @@
 
 #include "app/credential.hpp"
 #include "app/log.hpp"
+#include "app/publish_admin.hpp"
+#include "app/publisher_key.hpp"
 
 #include <QHostAddress>
 
@@ -62,11 +64,22 @@
         fmt::format("{}:{}", options.listen_address, options.peer_port);
     result.control.incarnation = incarnation;
     result.control.seed = incarnation;
+    result.control.verify = verify_publisher;
     result.control.uses_log = !options.log_address.empty();
     result.settings_site = options.tables;
     return result;
 }
 
+std::map<std::string, std::string> public_keys(settings const& options)
+{
+    std::map<std::string, std::string> keys;
+    for (publisher_settings const& publisher : options.publishers)
+    {
+        keys[publisher.name] = publisher.public_key;
+    }
+    return keys;
+}
+
 log_result result_of(log_token token, append_result const& result)
 {
     switch (result.outcome)
@@ -128,6 +141,7 @@
       timeline_(options_.vm, options_.memory.timeline_bytes),
       engines_(engine_timeout)
 {
+    set_publishers(public_keys(options_));
     if (!options_.log_address.empty())
     {
         log_ =
@@ -519,6 +533,14 @@
                      node_.control().log().reachable() ? 1 : 0);
         return metrics_.text();
     };
+    handlers.configuration = [this]
+    {
+        return answer_configuration(node_.control());
+    };
+    handlers.publish = [this](std::string const& body)
+    {
+        return answer_publish(node_.control(), present(), body);
+    };
     handlers.drain = [this](duration timeout)
     {
         drain(timeout > duration::zero() ? timeout
--- a/src/core/node.hpp
+++ b/src/core/node.hpp
@@ -53,12 +53,6 @@
     // Takes one event; emits the commands that follow from it.
     void handle(time_point now, event const& what);
 
-    // Starts to publish a configuration change; see control_plane.
-    publish_report publish(time_point now, configuration_change change)
-    {
-        return control_.publish(now, std::move(change));
-    }
-
     // Whether callers should be sent here.
     node_readiness readiness() const;
 
@@ -66,6 +60,11 @@
     {
         return requests_;
     }
+    // To publish configuration changes, and to be read.
+    control_plane& control()
+    {
+        return control_;
+    }
     control_plane const& control() const
     {
         return control_;
