--- a/src/app/admin_server.cpp
+++ b/src/app/admin_server.cpp
@@ -12,8 +12,8 @@
 namespace
 {
 
-constexpr http_server_limits admin_limits{16 * 1024, std::uint64_t{1} << 20,
-                                          64};
+constexpr std::size_t admin_connections = 64;
+constexpr std::uint64_t admin_body_bytes = std::uint64_t{1} << 20;
 constexpr std::string_view drain_timeout_key = "timeout_ms=";
 constexpr std::string_view json_type = "application/json";
 
@@ -28,6 +28,16 @@
     return {status, std::string(json_type), std::move(body)};
 }
 
+http_server_limits admin_limits()
+{
+    http_server_limits limits;
+    limits.body_bytes = admin_body_bytes;
+    limits.body_memory_bytes = 4 * admin_body_bytes;
+    limits.connections = admin_connections;
+    limits.connections_per_address = admin_connections;
+    return limits;
+}
+
 admin_answer error(int status, std::string_view what)
 {
     return json(status, fmt::format("{{\"error\":\"{}\"}}\n", what));
@@ -161,7 +171,7 @@
 
 admin_server::admin_server(admin_callbacks callbacks)
     : callbacks_(std::move(callbacks)),
-      server_(admin_limits,
+      server_(admin_limits(),
               {[this](exchange_id exchange, call const& request)
                {
                    admin_answer const answer =
