--- a/src/bench/policy_bench.cpp
+++ b/src/bench/policy_bench.cpp
@@ -1,5 +1,6 @@
 // Measures the decisions under load against simple baselines, on synthetic
 // time, over a number of seeds. Prints one table for each section.
+#include "bench/policy_bench_moves.hpp"
 #include "bench/policy_bench_workload.hpp"
 #include "bench/policy_bench_world.hpp"
 
@@ -10,6 +11,7 @@
 #include <cmath>
 #include <cstdio>
 #include <functional>
+#include <limits>
 #include <sstream>
 #include <string>
 #include <vector>
@@ -33,8 +35,8 @@
 struct spread
 {
     double sum = 0;
-    double lowest = INFINITY;
-    double highest = -INFINITY;
+    double lowest = std::numeric_limits<double>::infinity();
+    double highest = -std::numeric_limits<double>::infinity();
     int count = 0;
 
     void add(double value)
@@ -422,6 +424,55 @@
                 options);
 }
 
+void print_moves(version_kind const& kind, mover_kind mover, bool cut_vm,
+                 std::uint64_t runs, bench_options const& options)
+{
+    std::uint64_t taken_back = 0;
+    std::uint64_t done = 0;
+    std::uint64_t sent_after = 0;
+    spread exposed;
+    spread bad;
+    spread minutes;
+    for (std::uint64_t i = 0; i < runs; ++i)
+    {
+        move_result const r =
+            run_move(kind, mover, options.first_seed + i, cut_vm);
+        taken_back += r.state == move_state::taken_back ? 1 : 0;
+        done += r.state == move_state::done ? 1 : 0;
+        sent_after += r.sent_after;
+        exposed.add(r.exposed_share * 100);
+        bad.add(r.bad_share * 100);
+        minutes.add(r.seconds_to_end / 60);
+    }
+    fmt::print("| {}{} | {} | {} of {} | {} of {} | {} | {} | {} | {} |\n",
+               kind.name, cut_vm ? ", one VM cut off" : "",
+               mover == mover_kind::sequential ? "sequential" : "thresholds",
+               taken_back, runs, done, runs, exposed.text(2), bad.text(2),
+               minutes.text(1), sent_after);
+    std::fflush(stdout);
+}
+
+void bench_moves(bench_options const& options)
+{
+    fmt::print(
+        "\n### Moves of versions, one hour, 80 requests/s, 8 VMs\n\n"
+        "| kind | mover | taken back | done in time | new version's "
+        "requests, % | of these while bad, % of all | minutes to the end "
+        "| sent 5 s after the end |\n|---|---|---|---|---|---|---|---|\n");
+    constexpr std::uint64_t good_runs_per_seed = 10;
+    for (version_kind const& kind : version_kinds())
+    {
+        std::uint64_t const runs =
+            options.seeds * (kind.good ? good_runs_per_seed : 1);
+        print_moves(kind, mover_kind::sequential, false, runs, options);
+        print_moves(kind, mover_kind::thresholds, false, runs, options);
+        if (!kind.good)
+        {
+            print_moves(kind, mover_kind::sequential, true, runs, options);
+        }
+    }
+}
+
 struct section
 {
     char const* name;
@@ -429,10 +480,9 @@
 };
 
 constexpr section sections[] = {
-    {"routing", bench_routing},
-    {"faults", bench_faults},
-    {"limits", bench_limits},
-    {"retries", bench_retries},
+    {"routing", bench_routing}, {"faults", bench_faults},
+    {"limits", bench_limits},   {"retries", bench_retries},
+    {"moves", bench_moves},
 };
 
 int run(int argc, char** argv)
@@ -444,7 +494,7 @@
     auto add = described.add_options();
     add("help", "print this help");
     add("section", po::value(&only),
-        "run one section: routing, faults, limits, retries");
+        "run one section: routing, faults, limits, retries, moves");
     add("seed", po::value(&options.first_seed), "first seed (1)");
     add("seeds", po::value(&options.seeds), "number of seeds (10)");
     add("each-seed", po::bool_switch(&options.each_seed),
--- a/src/bench/policy_bench_engine.cpp
+++ b/src/bench/policy_bench_engine.cpp
@@ -22,7 +22,7 @@
 }
 
 void timeline::repeat(time_point first, duration interval, time_point end,
-                      action what)
+                      action const& what)
 {
     at(first,
        [=, this](time_point now)
--- a/src/bench/policy_bench_engine.hpp
+++ b/src/bench/policy_bench_engine.hpp
@@ -24,7 +24,7 @@
 
     void at(time_point when, action what);
     void repeat(time_point first, duration interval, time_point end,
-                action what);
+                action const& what);
     void run_until(time_point end);
 
 private:
--- a/src/bench/policy_bench_workload.cpp
+++ b/src/bench/policy_bench_workload.cpp
@@ -125,7 +125,7 @@
     prefix_chain chain(traffic const& row, std::uint32_t kind)
     {
         std::uint64_t const root =
-            (kind * 1'000 + random_() % row.templates + 1) *
+            (std::uint64_t{kind} * 1'000 + random_() % row.templates + 1) *
             0x9E3779B97F4A7C15u;
         prefix_chain blocks;
         for (std::uint32_t i = 0; i < row.shared_tokens / tokens_per_block; ++i)
--- /dev/null
+++ b/src/core/version_evidence.cpp
@@ -0,0 +1,143 @@
+#include "core/version_evidence.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace amarantharch
+{
+
+namespace
+{
+
+// Ratios of the failure rates, and of latencies, that count as not worse.
+constexpr double tolerated_failure_ratio = 1.5;
+constexpr double tolerated_latency_ratio = 1.15;
+
+constexpr std::array<double, failure_grid_size> failure_ratios{3, 8, 30, 150,
+                                                               1'000};
+
+// Stakes of the bets that grow linearly with the rank; the last bet of the
+// grid is on the highest rank alone.
+constexpr std::array<double, latency_grid_size - 1> linear_stakes{0.25, 0.5,
+                                                                  0.9};
+
+constexpr std::size_t block_size = 7;
+constexpr std::size_t max_old_answers = 32;
+constexpr duration max_answer_age = std::chrono::seconds(10);
+
+// The probability that a failed request was a new one.
+double new_given_failure(double share, double ratio)
+{
+    return share * ratio / (share * ratio + 1 - share);
+}
+
+template <std::size_t Size>
+double log_mixture(std::array<double, Size> const& log_wealth)
+{
+    double const highest =
+        *std::max_element(log_wealth.begin(), log_wealth.end());
+    double sum = 0;
+    for (double const value : log_wealth)
+    {
+        sum += std::exp(value - highest);
+    }
+    return highest + std::log(sum / static_cast<double>(Size));
+}
+
+} // namespace
+
+void test_evidence::add(test_evidence const& other)
+{
+    old_requests += other.old_requests;
+    new_requests += other.new_requests;
+    old_failures += other.old_failures;
+    new_failures += other.new_failures;
+    for (std::size_t i = 0; i < failure_grid_size; ++i)
+    {
+        failure_log_wealth[i] += other.failure_log_wealth[i];
+    }
+    for (std::size_t i = 0; i < latency_grid_size; ++i)
+    {
+        latency_log_wealth[i] += other.latency_log_wealth[i];
+    }
+}
+
+double test_evidence::failure_log_mixture() const
+{
+    return log_mixture(failure_log_wealth);
+}
+
+double test_evidence::latency_log_mixture() const
+{
+    return log_mixture(latency_log_wealth);
+}
+
+void sequential_test::on_failure(version_arm arm, double new_share)
+{
+    bool const is_new = arm == version_arm::new_version;
+    ++(is_new ? evidence_.new_requests : evidence_.old_requests);
+    ++(is_new ? evidence_.new_failures : evidence_.old_failures);
+    if (new_share <= 0 || new_share >= 1)
+    {
+        return; // nothing to compare with
+    }
+    double const null = new_given_failure(new_share, tolerated_failure_ratio);
+    for (std::size_t i = 0; i < failure_grid_size; ++i)
+    {
+        double const bet = new_given_failure(new_share, failure_ratios[i]);
+        evidence_.failure_log_wealth[i] +=
+            is_new ? std::log(bet / null) : std::log((1 - bet) / (1 - null));
+    }
+}
+
+void sequential_test::on_answer(time_point now, version_arm arm,
+                                duration latency)
+{
+    if (arm == version_arm::old_version)
+    {
+        ++evidence_.old_requests;
+        old_answers_.push_back({now, latency});
+        if (old_answers_.size() > max_old_answers)
+        {
+            old_answers_.pop_front();
+        }
+        return;
+    }
+    ++evidence_.new_requests;
+    while (!old_answers_.empty() &&
+           old_answers_.front().at + max_answer_age < now)
+    {
+        old_answers_.pop_front();
+    }
+    std::size_t const block = std::min(block_size, old_answers_.size());
+    auto const adjusted = std::chrono::duration<double, std::micro>(latency) /
+                          tolerated_latency_ratio;
+    std::size_t rank = 0; // old answers that were faster
+    for (std::size_t i = 0; i < block; ++i)
+    {
+        rank += old_answers_.back().latency < adjusted ? 1 : 0;
+        old_answers_.pop_back();
+    }
+    if (block > 0)
+    {
+        bet_on_rank(rank, block);
+    }
+}
+
+void sequential_test::bet_on_rank(std::size_t rank, std::size_t block)
+{
+    double const relative =
+        2 * static_cast<double>(rank) / static_cast<double>(block) - 1;
+    for (std::size_t i = 0; i < linear_stakes.size(); ++i)
+    {
+        evidence_.latency_log_wealth[i] +=
+            std::log1p(linear_stakes[i] * relative);
+    }
+    // Pays `high` on the highest of block + 1 ranks, `low` on the others.
+    double const ranks = static_cast<double>(block) + 1;
+    double const high = ranks / 2;
+    double const low = (ranks - high) / (ranks - 1);
+    evidence_.latency_log_wealth.back() += std::log(rank == block ? high : low);
+}
+
+} // namespace amarantharch
--- /dev/null
+++ b/src/core/version_move.cpp
@@ -0,0 +1,303 @@
+#include "core/version_move.hpp"
+
+#include <fmt/format.h>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace amarantharch
+{
+
+namespace
+{
+
+constexpr std::uint32_t last_stage =
+    static_cast<std::uint32_t>(move_stages.size() - 1);
+
+// Part of the first stage's exposure that comes in pulses.
+constexpr double share_in_pulses = 0.5;
+
+// Where routes beyond max_cells are counted.
+constexpr char const* other_routes = "other";
+
+std::string describe(std::string const& route, load_band band,
+                     char const* measure, test_evidence const& e)
+{
+    return fmt::format("{} worse on route {} under {} load: new {}/{} failed, "
+                       "old {}/{}",
+                       measure, route, name_in(load_band_names, band),
+                       e.new_failures, e.new_requests, e.old_failures,
+                       e.old_requests);
+}
+
+} // namespace
+
+version_move::version_move(move_plan plan, move_options options)
+    : plan_(std::move(plan)), options_(options), heard_at_(plan_.started)
+{
+}
+
+void version_move::set_capacity_share(double capacity_share)
+{
+    capacity_share_ = capacity_share;
+}
+
+double version_move::share(time_point now) const
+{
+    if (state_ == move_state::done)
+    {
+        return 1;
+    }
+    if (state_ != move_state::running || now < plan_.started ||
+        now - heard_at_ > options_.stop_after)
+    {
+        return 0;
+    }
+    bool const fresh = now - heard_at_ <= options_.stage_freshness;
+    std::uint32_t const stage = fresh ? stage_ : 0;
+    double const mean = move_stages[stage].share;
+    if (stage > 0)
+    {
+        return mean;
+    }
+    double const pulse_share =
+        std::clamp(capacity_share_, mean, options_.max_pulse_share);
+    double const pulsed = share_in_pulses * mean / pulse_share;
+    double const place = std::chrono::duration<double>((now - plan_.started) %
+                                                       options_.pulse_period) /
+                         std::chrono::duration<double>(options_.pulse_period);
+    double const rest = mean * (1 - share_in_pulses) / (1 - pulsed);
+    return place >= 1 - pulsed ? pulse_share : rest;
+}
+
+version_arm version_move::assign(time_point now, request_id const& id) const
+{
+    std::uint64_t const hash = XXH3_64bits_withSeed(
+        id.data(), id.size(),
+        XXH3_64bits(plan_.revision.data(), plan_.revision.size()));
+    double const place =
+        static_cast<double>(hash >> 11) / static_cast<double>(1ull << 53);
+    return place < share(now) ? version_arm::new_version
+                              : version_arm::old_version;
+}
+
+void version_move::on_failure(std::string const& route, load_band band,
+                              version_arm arm, double new_share)
+{
+    cell(route, band).on_failure(arm, new_share);
+}
+
+void version_move::on_answer(time_point now, std::string const& route,
+                             load_band band, version_arm arm,
+                             duration first_byte)
+{
+    cell(route, band).on_answer(now, arm, first_byte);
+}
+
+void version_move::on_heard(time_point now)
+{
+    heard_at_ = std::max(heard_at_, now);
+}
+
+void version_move::apply(move_record const& record)
+{
+    if (record.revision != plan_.revision ||
+        record.state > static_cast<std::uint8_t>(move_state::not_done))
+    {
+        return;
+    }
+    auto const state = static_cast<move_state>(record.state);
+    // Taken back wins over every other end; an end wins over every stage.
+    bool const wins =
+        state_ == move_state::running ||
+        (state == move_state::taken_back && state_ != move_state::taken_back);
+    if (!wins)
+    {
+        return;
+    }
+    if (state == move_state::running)
+    {
+        stage_ = std::max(stage_, std::min(record.stage, last_stage));
+        return;
+    }
+    state_ = state;
+    reason_ = record.reason;
+}
+
+move_evidence version_move::evidence(std::string vm, std::uint64_t incarnation)
+{
+    move_evidence message;
+    message.revision = plan_.revision;
+    message.vm = std::move(vm);
+    message.incarnation = incarnation;
+    message.sequence = ++evidence_sequence_;
+    for (auto const& [key, test] : cells_)
+    {
+        message.cells.push_back(
+            {key.route, static_cast<std::uint8_t>(key.band), test.evidence()});
+    }
+    return message;
+}
+
+void version_move::merge(move_evidence const& peer)
+{
+    if (peer.revision != plan_.revision)
+    {
+        return;
+    }
+    // Each life of a VM is a row of its own: what it saw still counts.
+    peer_row& known = peers_[fmt::format("{}/{}", peer.vm, peer.incarnation)];
+    if (peer.sequence <= known.sequence)
+    {
+        return;
+    }
+    known.sequence = peer.sequence;
+    known.cells.clear();
+    for (cell_evidence const& c : peer.cells)
+    {
+        load_band const band = c.band == 0 ? load_band::low : load_band::high;
+        known.cells[{c.route, band}] = c.evidence;
+    }
+}
+
+std::optional<move_record> version_move::tick(time_point now, bool is_mover)
+{
+    if (state_ != move_state::running)
+    {
+        return std::nullopt;
+    }
+    std::string const worse = found_worse(sums());
+    if (!worse.empty())
+    {
+        state_ = move_state::taken_back;
+        reason_ = worse;
+        return record_of(state_, reason_);
+    }
+    if (stage_ == last_stage && !last_stage_since_)
+    {
+        last_stage_since_ = now;
+    }
+    return is_mover ? next_stage(now) : std::nullopt;
+}
+
+std::optional<move_record> version_move::next_stage(time_point now)
+{
+    if (stage_ == last_stage)
+    {
+        auto const soak =
+            std::chrono::duration<double>(plan_.deadline - plan_.started) *
+            options_.soak;
+        if (last_stage_since_ && now - *last_stage_since_ >= soak)
+        {
+            return record_of(move_state::done, "");
+        }
+    }
+    if (now >= plan_.deadline)
+    {
+        std::string const lacked = lacking(sums());
+        return record_of(move_state::not_done,
+                         lacked.empty() ? "time for the soak" : lacked);
+    }
+    if (stage_ == last_stage || elapsed(now) < move_stages[stage_ + 1].from ||
+        !lacking(sums()).empty())
+    {
+        return std::nullopt;
+    }
+    move_record record = record_of(move_state::running, "");
+    record.stage = stage_ + 1;
+    return record;
+}
+
+move_report version_move::report(time_point now) const
+{
+    return {state_, stage_, share(now), reason_};
+}
+
+sequential_test& version_move::cell(std::string const& route, load_band band)
+{
+    auto const known = cells_.find({route, band});
+    if (known != cells_.end())
+    {
+        return known->second;
+    }
+    // The last two cells, one a band, are for all other routes.
+    bool const room = cells_.size() + 2 < options_.max_cells;
+    return cells_[{room ? route : std::string(other_routes), band}];
+}
+
+version_move::cell_sums version_move::sums() const
+{
+    cell_sums result;
+    for (auto const& [key, test] : cells_)
+    {
+        result[key].add(test.evidence());
+    }
+    for (auto const& [vm, peer] : peers_)
+    {
+        for (auto const& [key, evidence] : peer.cells)
+        {
+            result[key].add(evidence);
+        }
+    }
+    return result;
+}
+
+std::string version_move::found_worse(cell_sums const& cells) const
+{
+    double const tests =
+        2 * static_cast<double>(std::max(options_.max_cells, cells.size()));
+    double const bound = std::log(tests / options_.alpha);
+    for (auto const& [key, evidence] : cells)
+    {
+        if (evidence.failure_log_mixture() > bound)
+        {
+            return describe(key.route, key.band, "failures", evidence);
+        }
+        if (evidence.latency_log_mixture() > bound)
+        {
+            return describe(key.route, key.band, "latency", evidence);
+        }
+    }
+    return {};
+}
+
+std::string version_move::lacking(cell_sums const& cells) const
+{
+    std::uint64_t old_requests = 0;
+    for (auto const& [key, evidence] : cells)
+    {
+        old_requests += evidence.old_requests;
+    }
+    if (cells.empty())
+    {
+        return "no requests";
+    }
+    for (auto const& [key, evidence] : cells)
+    {
+        bool const matters =
+            static_cast<double>(evidence.old_requests) >=
+            options_.min_cell_share * static_cast<double>(old_requests);
+        if (matters && evidence.new_requests < options_.min_new_requests)
+        {
+            return fmt::format("{} of {} requests of route {} under {} load",
+                               evidence.new_requests, options_.min_new_requests,
+                               key.route, name_in(load_band_names, key.band));
+        }
+    }
+    return {};
+}
+
+move_record version_move::record_of(move_state state, std::string reason) const
+{
+    return {plan_.revision, static_cast<std::uint8_t>(state), stage_,
+            std::move(reason)};
+}
+
+double version_move::elapsed(time_point now) const
+{
+    return std::chrono::duration<double>(now - plan_.started) /
+           std::chrono::duration<double>(plan_.deadline - plan_.started);
+}
+
+} // namespace amarantharch
