--- a/src/bench/policy_bench_workload.cpp
+++ b/src/bench/policy_bench_workload.cpp
@@ -154,7 +154,7 @@
     profile.version = fmt::format("{}", 1);
     profile.failure_domain = fmt::format("domain{}", number % 4);
     profile.price_per_hour = 1;
-    profile.cache_blocks = kind == upstream_kind::model_engine ? 1'024 : 0;
+    profile.cache_blocks = kind == upstream_kind::engine ? 1'024 : 0;
     return profile;
 }
 
@@ -172,12 +172,12 @@
     for (std::size_t i = 0; i < 20; ++i)
     {
         fleet.push_back(profile_of(i, registry ? "drafting" : "assistant",
-                                   upstream_kind::model_engine));
+                                   upstream_kind::engine));
     }
     for (std::size_t i = 0; i < 4; ++i)
     {
         fleet.push_back(profile_of(i, registry ? "desk" : "shop",
-                                   upstream_kind::plain_service));
+                                   upstream_kind::plain));
         fleet.back().slots = 32;
     }
     return fleet;
--- a/src/core/log.hpp
+++ b/src/core/log.hpp
@@ -48,6 +48,7 @@
 {
     log_offset offset = 0;
     std::uint32_t index = 0;
+    // NOLINTNEXTLINE(modernize-use-nullptr): false alarm on its rewritten uses
     auto operator<=>(log_position const&) const = default;
 };
 
@@ -56,6 +57,9 @@
     log_position position;
     record_id id;
     std::string payload;
+    time_point time{}; // when the log took it, by the log's clock
+    // An earlier copy may lie before the offset where this reader began.
+    bool maybe_repeated = false;
 };
 
 // What one read returned.
@@ -68,6 +72,19 @@
     std::vector<log_record> records;
 };
 
+// Records read from a stream, in order and without a gap unless
+// `first_retained` lies beyond the reader's last position.
+struct log_read
+{
+    log_batch batch;
+};
+
+// The platform's log became reachable or unreachable.
+struct log_reachability
+{
+    bool reachable;
+};
+
 } // namespace amarantharch
 
 #endif
--- /dev/null
+++ b/src/core/site.cpp
@@ -0,0 +1,132 @@
+#include "core/site.hpp"
+
+#include "core/configuration.hpp"
+
+#include <absl/strings/match.h>
+
+namespace amarantharch
+{
+
+namespace
+{
+
+absl::string_view absl_view(std::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+// Compares in time that depends on the lengths only, so that a credential
+// cannot be guessed byte by byte.
+bool equal_in_constant_time(std::string_view a, std::string_view b)
+{
+    if (a.size() != b.size())
+    {
+        return false;
+    }
+    unsigned difference = 0;
+    for (std::size_t i = 0; i < a.size(); ++i)
+    {
+        difference |=
+            static_cast<unsigned char>(a[i]) ^ static_cast<unsigned char>(b[i]);
+    }
+    return difference == 0;
+}
+
+route_spec route_of(configuration const& tables, route_row const& route)
+{
+    service_row const& service = tables.services[route.service];
+    route_spec result;
+    result.name = route.name;
+    result.prefix = route.path;
+    result.service = service.name;
+    result.kind = service.kind;
+    result.idempotent = service.idempotent;
+    result.timeout = route.timeout;
+    result.priority = static_cast<std::uint8_t>(route.priority);
+    return result;
+}
+
+upstream_spec upstream_of(configuration const& tables,
+                          configured_upstream const& upstream)
+{
+    service_row const& service = tables.services[upstream.service];
+    upstream_spec result;
+    result.name = upstream.name;
+    result.address = upstream.address;
+    result.service = service.name;
+    result.kind = service.kind;
+    result.version = upstream.version;
+    result.failure_domain = upstream.failure_domain;
+    result.price = upstream.price;
+    result.capacity = static_cast<std::uint32_t>(upstream.capacity);
+    result.reclaimable = upstream.reclaimable;
+    return result;
+}
+
+} // namespace
+
+route_spec const* match_route(site const& tables, std::string_view target)
+{
+    route_spec const* best = nullptr;
+    for (route_spec const& route : tables.routes)
+    {
+        bool const longer =
+            best == nullptr || route.prefix.size() > best->prefix.size();
+        if (longer && target.starts_with(route.prefix))
+        {
+            best = &route;
+        }
+    }
+    return best;
+}
+
+std::string_view header_value(header_list const& headers, std::string_view name)
+{
+    for (header_field const& field : headers)
+    {
+        if (absl::EqualsIgnoreCase(field.name, absl_view(name)))
+        {
+            return field.value;
+        }
+    }
+    return {};
+}
+
+std::optional<std::string>
+identify_organisation(site const& tables, std::string_view credential_digest)
+{
+    if (tables.organisations.empty())
+    {
+        return "";
+    }
+    for (organisation_spec const& organisation : tables.organisations)
+    {
+        if (!organisation.key_digest.empty() &&
+            equal_in_constant_time(organisation.key_digest, credential_digest))
+        {
+            return organisation.name;
+        }
+    }
+    return std::nullopt;
+}
+
+site site_of(configuration const& tables)
+{
+    site result;
+    for (auto const& organisation : tables.organisations)
+    {
+        result.organisations.push_back(
+            {organisation.name, organisation.weight, organisation.key_digest});
+    }
+    for (auto const& route : tables.routes)
+    {
+        result.routes.push_back(route_of(tables, route));
+    }
+    for (auto const& upstream : tables.upstreams)
+    {
+        result.upstreams.push_back(upstream_of(tables, upstream));
+    }
+    return result;
+}
+
+} // namespace amarantharch
