--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -243,6 +243,7 @@
     row.since = now;
     auto& added = members_.emplace(update.vm, std::move(row)).first->second;
     ++fleet_size_;
+    ranks_.clear();
     changes_.push_back({update.vm, member_state::gone, added.state()});
     set_address(now, added, update);
     // At a random place, so that not all VMs probe it at the same time.
@@ -340,6 +341,7 @@
     }
     if (before != row.state())
     {
+        ranks_.clear();
         changes_.push_back({row.vm, before, row.state()});
     }
 }
@@ -846,6 +848,10 @@
 
 bool membership::is_among(std::string_view purpose, std::size_t count) const
 {
+    if (auto const known = ranks_.find(purpose); known != ranks_.end())
+    {
+        return known->second < count;
+    }
     auto const own = rendezvous(purpose, options_.vm);
     auto const before = std::ranges::count_if(
         members_,
@@ -854,7 +860,9 @@
             return entry.second.state() == member_state::live &&
                    rendezvous(purpose, entry.first) > own;
         });
-    return static_cast<std::size_t>(before) < count;
+    auto const rank = static_cast<std::size_t>(before);
+    ranks_.emplace(purpose, rank);
+    return rank < count;
 }
 
 std::vector<member_change> membership::take_changes()
--- a/src/core/membership.hpp
+++ b/src/core/membership.hpp
@@ -171,6 +171,7 @@
     // Whether this VM is among the `count` VMs that `purpose` falls to: a
     // rendezvous hash over the live members, so that all agree once they see
     // the same members, and little moves when one leaves. Grants nothing.
+    // O(members) after a change of the members, else O(log purposes).
     bool is_among(std::string_view purpose, std::size_t count) const;
 
     // Changes since the last call, in order.
@@ -282,6 +283,9 @@
     bool repair_rows_ = false;
     std::vector<std::string> asking_;
     std::size_t fleet_size_ = 1; // with this VM, without the gone
+    // How many live members come before this one for a purpose; emptied
+    // whenever a member's state changes.
+    mutable std::map<std::string, std::size_t, std::less<>> ranks_;
     double budget_;
     std::vector<member_change> changes_;
     membership_traffic traffic_;
