--- a/src/bench/scale_bench.cpp
+++ b/src/bench/scale_bench.cpp
@@ -259,6 +259,74 @@
     return t;
 }
 
+// ---- Soft state. ----
+
+constexpr std::size_t organisations = 5;
+constexpr int soft_seconds = 40;
+constexpr std::size_t sampled_vms = 16;
+
+// Each VM writes its usage by organisation each second; how old and how
+// complete is what others hold of it?
+row_cells measure_soft_state(std::size_t size, std::uint64_t seed)
+{
+    auto const heap_before = heap_bytes();
+    fleet f(size, seed);
+    f.run(settle_time);
+    f.reset_counts();
+    for (int second = 1; second <= soft_seconds; ++second)
+    {
+        for (std::size_t vm = 0; vm < size; ++vm)
+        {
+            f.write_usage(vm, organisations, second);
+        }
+        f.run(std::chrono::seconds(1));
+    }
+    double held = 0;
+    double age = 0;
+    auto const sampled = std::min(size, sampled_vms);
+    for (std::size_t vm = 0; vm < sampled; ++vm)
+    {
+        for (std::size_t o = 0; o < organisations; ++o)
+        {
+            f.core(vm).members().state().visit(
+                soft_kind::organisation_usage, fleet::organisation(o),
+                [&](soft_row const& row)
+                {
+                    held += 1;
+                    age += soft_seconds - static_cast<double>(row.value);
+                });
+        }
+    }
+    auto const counts = f.counts();
+    auto const n = static_cast<double>(size);
+    auto const possible = static_cast<double>(sampled * organisations) * n;
+    return {
+        fmt::format("{}", size),
+        fmt::format("{}", size * organisations),
+        fmt::format("{:.0f}",
+                    static_cast<double>(counts.bytes) / (n * soft_seconds)),
+        fmt::format("{:.0f}",
+                    counts.processor_seconds * 1e6 / (n * soft_seconds)),
+        fmt::format("{:.1f}", 100 * held / possible),
+        fmt::format("{:.1f}", held > 0 ? age / held : 0.0),
+        fmt::format("{:.0f}", static_cast<double>(heap_bytes() - heap_before) /
+                                  n / 1024)};
+}
+
+table soft_state_table(std::vector<std::size_t> const& sizes,
+                       std::uint64_t seed)
+{
+    table t;
+    t.title = "soft state: each VM writes 5 rows a second for 40 s";
+    t.header = {"vms",    "rows_written/s", "bytes/s", "cpu_us/s",
+                "held_%", "mean_age_s",     "heap_KiB"};
+    for (auto const size : sizes)
+    {
+        t.rows.push_back(measure_soft_state(size, seed));
+    }
+    return t;
+}
+
 // ---- The configuration. ----
 
 std::string text_of(std::size_t upstreams)
@@ -478,6 +546,7 @@
     print(configuration_table(), csv);
     print(log_table(), csv);
     print(fleet_table(sizes, seed), csv);
+    print(soft_state_table(sizes, seed), csv);
     return 0;
 }
 
--- a/src/bench/scale_bench_fleet.cpp
+++ b/src/bench/scale_bench_fleet.cpp
@@ -263,6 +263,20 @@
     timed([&] { vms_[at].core->publish(now_, change); });
 }
 
+std::string fleet::organisation(std::size_t number)
+{
+    return fmt::format("organisation-{}", number);
+}
+
+void fleet::write_usage(std::size_t vm, std::size_t count, std::int64_t value)
+{
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        vms_[vm].core->members().state().set(
+            now_, soft_kind::organisation_usage, organisation(i), value);
+    }
+}
+
 void fleet::kill(std::size_t vm)
 {
     vms_[vm].alive = false;
--- a/src/bench/scale_bench_fleet.hpp
+++ b/src/bench/scale_bench_fleet.hpp
@@ -44,6 +44,9 @@
 
     // Publishes `text` from a VM; its fate is seen in the stores.
     void publish(std::size_t at, std::string const& text);
+    // Writes `value` as the VM's usage of each of `count` organisations.
+    void write_usage(std::size_t vm, std::size_t count, std::int64_t value);
+    static std::string organisation(std::size_t number);
     void kill(std::size_t vm);
     void leave(std::size_t vm);
 
