--- a/src/net/engine_client.cpp
+++ b/src/net/engine_client.cpp
@@ -15,9 +15,9 @@
 namespace
 {
 
-constexpr name_table<cache_event_kind, 2> cache_event_kind_names{{
-    {cache_event_kind::stored, "stored"},
-    {cache_event_kind::evicted, "evicted"},
+constexpr name_table<engine_cache_event_kind, 2> engine_cache_event_kind_names{{
+    {engine_cache_event_kind::stored, "stored"},
+    {engine_cache_event_kind::evicted, "evicted"},
 }};
 
 constexpr name_table<engine_order_kind, 3> engine_order_kind_names{{
@@ -62,7 +62,7 @@
                        json_string(*object, "role")};
 }
 
-absl::StatusOr<cache_events> to_events(http_answer const& answer)
+absl::StatusOr<engine_cache_events> to_events(http_answer const& answer)
 {
     absl::Status const status = answer_status(answer);
     if (!status.ok())
@@ -74,12 +74,12 @@
     {
         return object.status();
     }
-    cache_events result;
+    engine_cache_events result;
     result.next = count<std::uint64_t>(*object, "next");
     for (QJsonObject const& row : json_objects(*object, "events"))
     {
         auto const kind =
-            value_in(cache_event_kind_names, json_string(row, "kind"));
+            value_in(engine_cache_event_kind_names, json_string(row, "kind"));
         if (kind)
         {
             result.events.push_back({count<std::uint64_t>(row, "sequence"),
@@ -170,7 +170,7 @@
 }
 
 void engine_client::events(std::string const& address, std::uint64_t from,
-                           callback<cache_events> done)
+                           callback<engine_cache_events> done)
 {
     impl_->send(
         address,
--- a/src/net/engine_client.hpp
+++ b/src/net/engine_client.hpp
@@ -31,22 +31,22 @@
     std::string role;
 };
 
-enum class cache_event_kind : std::uint8_t
+enum class engine_cache_event_kind : std::uint8_t
 {
     stored,
     evicted,
 };
 
-struct cache_event
+struct engine_cache_event
 {
     std::uint64_t sequence = 0; // gaps mean lost events
-    cache_event_kind kind = cache_event_kind::stored;
+    engine_cache_event_kind kind = engine_cache_event_kind::stored;
     std::string block;
 };
 
 struct engine_cache_events
 {
-    std::vector<cache_event> events;
+    std::vector<engine_cache_event> events;
     std::uint64_t next = 0; // where the next read starts
 };
 
--- a/src/net/platform_test.cpp
+++ b/src/net/platform_test.cpp
@@ -337,7 +337,7 @@
 BOOST_AUTO_TEST_CASE(report_cache_events)
 {
     fixture f;
-    waiting<absl::StatusOr<cache_events>> call;
+    waiting<absl::StatusOr<engine_cache_events>> call;
     f.engine.events(f.address, 4, call.callback());
     std::string const sent = serve(f.server, answer("200 OK", R"({"events":[
         {"sequence":4,"kind":"stored","block":"x"},
@@ -348,7 +348,7 @@
     BOOST_REQUIRE(events.ok());
     BOOST_TEST(events->next == 8U);
     BOOST_REQUIRE(events->events.size() == 2U);
-    BOOST_TEST((events->events[1].kind == cache_event_kind::evicted));
+    BOOST_TEST((events->events[1].kind == engine_cache_event_kind::evicted));
     BOOST_TEST(events->events[1].block == "y");
 }
 
