--- a/src/net/engine_client.cpp
+++ b/src/net/engine_client.cpp
@@ -15,9 +15,9 @@
 namespace
 {
 
-constexpr name_table<cache_event_kind, 2> cache_event_kind_names{{
-    {cache_event_kind::stored, "stored"},
-    {cache_event_kind::evicted, "evicted"},
+constexpr name_table<engine_cache_event_kind, 2> engine_cache_event_kind_names{{
+    {engine_cache_event_kind::stored, "stored"},
+    {engine_cache_event_kind::evicted, "evicted"},
 }};
 
 constexpr name_table<engine_order_kind, 3> engine_order_kind_names{{
@@ -79,7 +79,7 @@
     for (QJsonObject const& row : json_objects(*object, "events"))
     {
         auto const kind =
-            value_in(cache_event_kind_names, json_string(row, "kind"));
+            value_in(engine_cache_event_kind_names, json_string(row, "kind"));
         if (kind)
         {
             result.events.push_back({count<std::uint64_t>(row, "sequence"),
