--- /dev/null
+++ b/src/core/crash_detector.cpp
@@ -0,0 +1,45 @@
+#include "core/crash_detector.hpp"
+
+#include <utility>
+
+namespace amarantharch
+{
+
+std::optional<std::set<fingerprint>>
+crash_detector::lost(time_point now, upstream_index upstream,
+                     attempt_id attempt, attempts_in_flight present)
+{
+    auto found = groups_.find(upstream);
+    bool const fresh = found == groups_.end() ||
+                       now - found->second.since > window_ ||
+                       !found->second.missing.contains(attempt);
+    if (fresh)
+    {
+        group started{now, {}, {}};
+        for (auto const& [id, print] : present)
+        {
+            started.missing.insert(id);
+            started.carried.insert(print);
+        }
+        found = groups_.insert_or_assign(upstream, std::move(started)).first;
+    }
+    found->second.missing.erase(attempt);
+    if (!found->second.missing.empty())
+    {
+        return std::nullopt;
+    }
+    std::set<fingerprint> carried = std::move(found->second.carried);
+    groups_.erase(found);
+    return carried;
+}
+
+void crash_detector::ended(upstream_index upstream, attempt_id attempt)
+{
+    auto const found = groups_.find(upstream);
+    if (found != groups_.end() && found->second.missing.contains(attempt))
+    {
+        groups_.erase(found);
+    }
+}
+
+} // namespace amarantharch
--- /dev/null
+++ b/src/core/crash_detector_test.cpp
@@ -0,0 +1,58 @@
+#include "core/crash_detector.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace amarantharch;
+
+namespace
+{
+
+constexpr upstream_index upstream = 3;
+constexpr duration window = std::chrono::milliseconds(200);
+attempts_in_flight const three{{1, 11}, {2, 12}, {3, 13}};
+
+time_point at(int milliseconds)
+{
+    return time_point(std::chrono::milliseconds(milliseconds));
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(an_upstream_whose_connections_are_lost)
+
+BOOST_AUTO_TEST_CASE(crashed_if_all_were_lost_together)
+{
+    crash_detector detector(window);
+    BOOST_TEST(!detector.lost(at(0), upstream, 1, three));
+    BOOST_TEST(!detector.lost(at(1), upstream, 2, {{2, 12}, {3, 13}}));
+    auto const carried = detector.lost(at(2), upstream, 3, {{3, 13}});
+    BOOST_REQUIRE(carried.has_value());
+    BOOST_TEST((*carried == std::set<fingerprint>{11, 12, 13}));
+}
+
+BOOST_AUTO_TEST_CASE(crashed_if_the_only_one_was_lost)
+{
+    crash_detector detector(window);
+    BOOST_TEST(detector.lost(at(0), upstream, 1, {{1, 11}}).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE(but_not_all_of_them)
+
+BOOST_AUTO_TEST_CASE(did_not_crash_if_one_was_answered)
+{
+    crash_detector detector(window);
+    BOOST_TEST(!detector.lost(at(0), upstream, 1, three));
+    detector.ended(upstream, 2);
+    BOOST_TEST(!detector.lost(at(1), upstream, 3, {{3, 13}, {4, 14}}));
+}
+
+BOOST_AUTO_TEST_CASE(did_not_crash_if_the_rest_came_too_late)
+{
+    crash_detector detector(window);
+    BOOST_TEST(!detector.lost(at(0), upstream, 1, {{1, 11}, {2, 12}}));
+    BOOST_TEST(
+        !detector.lost(at(300), upstream, 2, {{2, 12}, {3, 13}}).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -10,7 +10,8 @@
       control_(options_.control, emit, control_handlers()),
       requests_(options_.requests, emit,
                 [this](std::string payload)
-                { append_request_record(std::move(payload)); })
+                { append_request_record(std::move(payload)); }),
+      exchange_({options_.control.vm, options_.control.incarnation}, emit)
 {
     requests_.set_site(std::make_shared<site>(options_.settings_site));
     requests_.requests_ledger().set_reachable({}, options_.control.uses_log);
@@ -58,6 +59,7 @@
 {
     control_.tick(now);
     requests_.tick(now);
+    exchange_.tick(now, control_.members(), requests_);
 }
 
 void node::on(time_point now, log_result const& what)
@@ -67,6 +69,11 @@
 
 void node::on(time_point now, peer_message_received const& what)
 {
+    if (what.message.kind == peer_message_kind::request)
+    {
+        exchange_.receive(now, what.message, requests_);
+        return;
+    }
     control_.handle(now, what.message);
 }
 
@@ -82,7 +89,7 @@
 
 void node::on(time_point, upstream_leaving_seen const& what)
 {
-    requests_.upstream_leaving(what.upstream);
+    exchange_.upstream_leaving(what.upstream, requests_);
 }
 
 void node::on(time_point now, stop_requested const& what)
--- a/src/core/node.hpp
+++ b/src/core/node.hpp
@@ -18,6 +18,7 @@
 #include "core/command.hpp"
 #include "core/control_plane.hpp"
 #include "core/event.hpp"
+#include "core/peer_exchange.hpp"
 #include "core/request_path.hpp"
 #include "core/site.hpp"
 #include "core/time.hpp"
@@ -91,6 +92,7 @@
     time_point present_; // of the event in hand
     control_plane control_;
     request_path requests_;
+    peer_exchange exchange_;
 };
 
 } // namespace amarantharch
--- /dev/null
+++ b/src/core/peer_exchange.hpp
@@ -0,0 +1,68 @@
+// Spreads what this VM knows of requests and upstreams to its peers.
+//
+// News (a quarantine mark, an upstream that is leaving) goes at once to a few
+// peers, and each VM to which it is news passes it on, so that it reaches all
+// of n VMs in O(log n) rounds with high probability; with at most news_fanout
+// peers it goes to all in one. Usage counters go to usage_fanout peers a
+// second in rotation; the error of a limit is bounded by what was served at
+// the VMs not heard lately (see admission). Cost a VM and second: usage_fanout
+// messages, whatever the fleet's size.
+#ifndef AMARANTHARCH_CORE_PEER_EXCHANGE_HPP
+#define AMARANTHARCH_CORE_PEER_EXCHANGE_HPP
+
+#include "core/command.hpp"
+#include "core/membership.hpp"
+#include "core/peer_update.hpp"
+#include "core/request_path.hpp"
+
+#include <cstdint>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace amarantharch
+{
+
+struct peer_exchange_options
+{
+    std::string vm;
+    std::uint64_t incarnation = 0;
+    duration usage_interval = std::chrono::seconds(1);
+    duration news_interval = std::chrono::milliseconds(50);
+    std::size_t usage_fanout = 8;
+    std::size_t news_fanout = 16;
+};
+
+class peer_exchange
+{
+public:
+    peer_exchange(peer_exchange_options options, command_sink emit);
+
+    // Takes a peer_message_kind::request message.
+    void receive(time_point now, peer_message const& message,
+                 request_path& requests);
+
+    // An upstream is leaving, as the platform or an operator says.
+    void upstream_leaving(std::string const& upstream, request_path& requests);
+
+    // Sends what is due to live members.
+    void tick(time_point now, membership const& members,
+              request_path& requests);
+
+private:
+    std::vector<std::string> next_peers(membership const& members,
+                                        std::size_t count);
+    void send(std::vector<std::string> const& peers, peer_update const& update);
+
+    peer_exchange_options options_;
+    command_sink emit_;
+    std::set<std::string> known_leaving_;
+    std::vector<std::string> unsent_leaving_;
+    std::size_t next_peer_ = 0;
+    time_point usage_due_{};
+    time_point news_due_{};
+};
+
+} // namespace amarantharch
+
+#endif
--- /dev/null
+++ b/src/core/peer_update.hpp
@@ -0,0 +1,45 @@
+// What VMs tell each other about requests and upstreams, and its encoding.
+//
+// All of it informs and merges: counters by maximum, marks and leaving
+// upstreams by union. A message may be lost, late, repeated or reordered.
+#ifndef AMARANTHARCH_CORE_PEER_UPDATE_HPP
+#define AMARANTHARCH_CORE_PEER_UPDATE_HPP
+
+#include "core/admission.hpp"
+#include "core/quarantine.hpp"
+
+#include <absl/status/statusor.h>
+#include <msgpack.hpp>
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace amarantharch
+{
+
+// One VM's use of one service.
+struct service_usage
+{
+    std::string service;
+    usage_summary usage;
+    MSGPACK_DEFINE(service, usage)
+};
+
+// Payload of peer_message_kind::request.
+struct peer_update
+{
+    std::vector<service_usage> usage;
+    quarantine_delta quarantined;
+    std::vector<std::string> leaving; // names of upstreams
+    MSGPACK_DEFINE(usage, quarantined, leaving)
+};
+
+std::string encode(peer_update const& update);
+
+// InvalidArgument for anything that encode() did not make.
+absl::StatusOr<peer_update> decode_peer_update(std::string_view bytes);
+
+} // namespace amarantharch
+
+#endif
--- a/src/core/request_path.cpp
+++ b/src/core/request_path.cpp
@@ -22,6 +22,11 @@
 constexpr duration way_back = std::chrono::milliseconds(5);
 // A request that may not end before the VM stops is not taken any more.
 constexpr duration stop_margin = std::chrono::milliseconds(500);
+// How often a request looks again for an upstream that it may run on.
+constexpr duration upstream_wait = std::chrono::milliseconds(20);
+// Crashes of one upstream seen within this time are one crash; it names the
+// crash alike at all VMs, since an upstream does not tell its incarnation.
+constexpr duration crash_resolution = std::chrono::milliseconds(500);
 constexpr std::uint32_t default_output_tokens = 128;
 constexpr std::uint8_t least_interactive_priority = 6;
 constexpr std::uint8_t least_standard_priority = 3;
@@ -181,7 +186,9 @@
                            record_appender append)
     : options_(std::move(options)), emit_(std::move(emit)),
       append_(std::move(append)), site_(std::make_shared<site>()),
-      router_(options_.routing), retries_(options_.retries), outliers_(options_.outliers),
+      router_(options_.routing), retries_(options_.retries),
+      outliers_(options_.outliers), quarantine_(options_.quarantined),
+      crashes_(options_.crash_window),
       ledger_(ledger_options_of(options_),
               [this](ledger_effect const& effect) { take(present_, effect); })
 {
@@ -292,6 +299,8 @@
     r.route = *route;
     r.priority = class_of(route->priority);
     r.deadline = now + route->timeout;
+    r.print = fingerprint_of(route->service, request.method, request.target,
+                             request.body);
     held_bytes_ += request.body.size();
     if (route->kind == upstream_kind::engine && wants_stream(request.body))
     {
@@ -405,15 +414,21 @@
         return;
     }
     auto const& refused = std::get<refused_reply>(effect);
-    auto const found = rows_.find(refused.request);
+    end_refused(now, refused.request, refused.why);
+}
+
+// Passes on the ledger's refusal of a request or of a question about one.
+void request_path::end_refused(time_point now, request_id const& id,
+                               refusal const& why)
+{
+    auto const found = rows_.find(id);
     if (found == rows_.end())
     {
-        emit_(answer_refusal{refused.request, refused.why});
+        emit_(answer_refusal{id, why});
         return;
     }
-    found->second.run = combine(found->second.run, refused.why.run);
-    refuse(now, found->second, refused.why.status, refused.why.reason,
-           refused.why.retry_after);
+    found->second.run = combine(found->second.run, why.run);
+    refuse(now, found->second, why.status, why.reason, why.retry_after);
 }
 
 // Answers that an asynchronous request is kept and where to ask for its
@@ -435,6 +450,15 @@
 void request_path::repeat(time_point now, request_id const& id,
                           kept_outcome const& outcome)
 {
+    if (outcome.run != verdict::ran || !outcome.answer_kept)
+    {
+        bool const ran = outcome.run == verdict::ran;
+        end_refused(now, id,
+                    {409, outcome.run,
+                     ran ? "answer_not_kept" : ledger_reasons::outcome_unknown,
+                     duration::zero()});
+        return;
+    }
     header_list headers{{"X-Verdict", std::string(name(outcome.run))},
                         {"X-Repeated", "yes"}};
     if (!outcome.content_type.empty())
@@ -466,6 +490,8 @@
     }
     row& r = rows_[request.id];
     held_bytes_ += request.body.size();
+    r.print = fingerprint_of(route->service, request.method, request.target,
+                             request.body);
     r.request = std::move(request);
     r.organisation = what.call.organisation;
     r.route = *route;
@@ -512,10 +538,65 @@
     return request;
 }
 
+// Refuses a request that has crashed upstreams, or that may have until all
+// VMs' marks are in. True if the row is gone.
+bool request_path::held_back(time_point now, row& r)
+{
+    quarantine_decision const decision = quarantine_.decide(now, r.print);
+    r.alone = decision == quarantine_decision::run_alone;
+    if (decision == quarantine_decision::refuse)
+    {
+        refuse(now, r, 422, "quarantined", duration::zero());
+        return true;
+    }
+    if (decision == quarantine_decision::hold)
+    {
+        refuse(now, r, 503, "crash_suspected",
+               options_.quarantined.settle_time);
+        return true;
+    }
+    return false;
+}
+
+// Upstreams that the request has failed at, those reserved for others and,
+// if it must run alone, those that are in use.
+std::vector<upstream_index> request_path::exclusions_for(row const& r) const
+{
+    std::vector<upstream_index> excluded = r.tried;
+    for (auto const& [upstream, request] : reserved_)
+    {
+        excluded.push_back(upstream);
+    }
+    for (upstream_index i = 0; r.alone && i < upstreams_.size(); ++i)
+    {
+        if (upstreams_.row(i).in_flight > 0)
+        {
+            excluded.push_back(i);
+        }
+    }
+    return excluded;
+}
+
+void request_path::wait_for_upstream(time_point now, row& r)
+{
+    r.at = stage::waiting;
+    r.attempt_due = now + upstream_wait;
+}
+
 void request_path::dispatch(time_point now, row& r)
 {
+    if (held_back(now, r))
+    {
+        return;
+    }
     request_features const features = features_of(r);
-    auto const picked = router_.choose(now, features, upstreams_, r.tried);
+    auto const picked =
+        router_.choose(now, features, upstreams_, exclusions_for(r));
+    if (!picked && (r.alone || !reserved_.empty()))
+    {
+        wait_for_upstream(now, r);
+        return;
+    }
     if (!picked)
     {
         refuse(now, r, 503, "no_upstream", no_upstream_retry_after);
@@ -528,6 +609,10 @@
     r.first_seen = false;
     ++r.attempts;
     attempts_[r.attempt] = r.request.id;
+    if (r.alone)
+    {
+        reserved_[r.upstream] = r.request.id;
+    }
     if (r.relay)
     {
         r.relay->begin(r.attempt);
@@ -548,6 +633,11 @@
 
 void request_path::end_attempt(time_point now, row& r)
 {
+    crashes_.ended(r.upstream, r.attempt);
+    if (r.alone)
+    {
+        reserved_.erase(r.upstream);
+    }
     router_.on_end(now, r.attempt, upstreams_);
     attempts_.erase(r.attempt);
     r.attempt = 0;
@@ -671,6 +761,10 @@
     }
     outliers_.on_result(now, r->upstream, true, upstreams_);
     end_attempt(now, *r);
+    if (r->alone)
+    {
+        quarantine_.ended_well_alone(now, r->print);
+    }
     retries_.on_success(r->route.service);
     finish(now, *r);
 }
@@ -691,6 +785,7 @@
     note("attempt_failed", r.request.id,
          fmt::format("attempt={} run={} reason={}", r.attempt, name(run),
                      reason));
+    note_lost(now, r, reason);
     outliers_.on_result(now, r.upstream, false, upstreams_);
     r.tried.push_back(r.upstream);
     if (r.relay)
@@ -699,13 +794,46 @@
     }
     end_attempt(now, r);
     r.run = combine(r.run, run);
-    if (try_again(now, r))
+    if (held_back(now, r) || try_again(now, r))
     {
         return;
     }
     refuse(now, r, 502, reason, failure_retry_after);
 }
 
+// Looks for a crash of the upstream behind a lost connection.
+void request_path::note_lost(time_point now, row const& r,
+                             std::string const& reason)
+{
+    bool const lost = reason == "connection_lost" || reason == "answer_cut";
+    upstream_row const& upstream = upstreams_.row(r.upstream);
+    if (!lost || upstream.leaving || !upstream.present)
+    {
+        return;
+    }
+    attempts_in_flight present;
+    for (auto const& [attempt, request] : attempts_)
+    {
+        row const& other = rows_.at(request);
+        if (other.upstream == r.upstream)
+        {
+            present[attempt] = other.print;
+        }
+    }
+    auto const carried =
+        crashes_.lost(now, r.upstream, r.attempt, std::move(present));
+    if (carried)
+    {
+        auto const instant = static_cast<std::uint64_t>(now.time_since_epoch() /
+                                                        crash_resolution);
+        quarantine_.crashed(now, {upstream.profile.name, instant}, *carried,
+                            r.alone);
+        note("upstream_crashed", r.request.id,
+             fmt::format("upstream={} in_flight={}", upstream.profile.name,
+                         carried->size()));
+    }
+}
+
 bool request_path::try_again(time_point now, row& r)
 {
     retry_question question;
@@ -747,9 +875,9 @@
 void request_path::refuse(time_point now, row& r, int status,
                           std::string reason, duration retry_after)
 {
-    if (r.run == verdict::may_have_run && !r.route.idempotent)
+    if (r.run == verdict::may_have_run && !r.route.idempotent && r.attempts > 0)
     {
-        retry_after = duration::zero(); // it must not be sent again
+        retry_after = duration::zero(); // a repeat would learn no more
     }
     note("request_refused", r.request.id,
          fmt::format("verdict={} reason={}", name(r.run), reason));
@@ -886,6 +1014,27 @@
     }
 }
 
+std::vector<service_usage> request_path::usage(std::string const& vm,
+                                               std::uint64_t incarnation)
+{
+    std::vector<service_usage> all;
+    for (auto& [service, gate] : admissions_)
+    {
+        all.push_back({service, gate.usage(vm, incarnation)});
+    }
+    return all;
+}
+
+void request_path::merge_usage(time_point now, std::string const& service,
+                               usage_summary const& peer)
+{
+    auto const gate = admissions_.find(service);
+    if (gate != admissions_.end()) // else nothing of it is admitted here
+    {
+        gate->second.merge(now, peer);
+    }
+}
+
 void request_path::apply(time_point now, log_batch const& batch)
 {
     present_ = now;
@@ -908,6 +1057,7 @@
 {
     present_ = now;
     ledger_.tick(now);
+    quarantine_.tick(now);
     bool const last_moment = stop_by_ && now >= *stop_by_ - stop_margin;
     std::vector<request_id> expired;
     std::vector<request_id> due;
--- a/src/core/request_path.hpp
+++ b/src/core/request_path.hpp
@@ -22,9 +22,12 @@
 
 #include "core/admission.hpp"
 #include "core/command.hpp"
+#include "core/crash_detector.hpp"
 #include "core/event.hpp"
 #include "core/ledger.hpp"
 #include "core/outlier.hpp"
+#include "core/peer_update.hpp"
+#include "core/quarantine.hpp"
 #include "core/retry_budget.hpp"
 #include "core/routing.hpp"
 #include "core/site.hpp"
@@ -53,6 +56,9 @@
     routing_options routing;
     retry_budget_options retries;
     outlier_options outliers;
+    quarantine_options quarantined;
+    // Connections lost within this time are lost together.
+    duration crash_window = std::chrono::milliseconds(200);
     // Bytes of a stream's last tokens kept while it is relayed.
     std::size_t stream_history_bytes = std::size_t{16} << 10;
     ledger_options requests_ledger; // vm and incarnation are filled in
@@ -95,6 +101,17 @@
     void set_log_reachable(time_point now, bool reachable);
     void vm_gone(time_point now, std::string const& vm);
 
+    // What this VM has served of each service, for its peers.
+    std::vector<service_usage> usage(std::string const& vm,
+                                     std::uint64_t incarnation);
+    // What a peer has served.
+    void merge_usage(time_point now, std::string const& service,
+                     usage_summary const& peer);
+
+    quarantine& crashes()
+    {
+        return quarantine_;
+    }
     ledger& requests_ledger()
     {
         return ledger_;
@@ -163,6 +180,8 @@
         std::uint64_t answer_bytes = 0;
         run_outcome outcome;               // collected for the ledger
         std::optional<stream_relay> relay; // if tokens are streamed
+        fingerprint print = 0;
+        bool alone = false; // its upstream is reserved for it
     };
 
     // Arrival.
@@ -177,10 +196,15 @@
     void accept(time_point now, request_id const& id);
     void repeat(time_point now, request_id const& id,
                 kept_outcome const& outcome);
+    void end_refused(time_point now, request_id const& id, refusal const& why);
     void run_detached(time_point now, run_request const& what);
 
     // Attempts.
     void dispatch(time_point now, row& r);
+    bool held_back(time_point now, row& r);
+    std::vector<upstream_index> exclusions_for(row const& r) const;
+    void wait_for_upstream(time_point now, row& r);
+    void note_lost(time_point now, row const& r, std::string const& reason);
     call outgoing(time_point now, row const& r) const;
     request_features features_of(row const& r) const;
     row* row_of(attempt_id attempt);
@@ -210,6 +234,10 @@
     router router_;
     retry_budget retries_;
     outlier_detector outliers_;
+    quarantine quarantine_;
+    crash_detector crashes_;
+    // Upstreams that run one suspect alone: none else is sent there.
+    std::map<upstream_index, request_id> reserved_;
     time_point present_; // of the event in hand, for the ledger's effects
     ledger ledger_;
     attempt_id next_attempt_ = 1;
