--- a/src/core/configuration_store_test.cpp
+++ b/src/core/configuration_store_test.cpp
@@ -1,8 +1,10 @@
 #include "core/configuration_store.hpp"
 
 #include <boost/test/unit_test.hpp>
+#include <fmt/format.h>
 
 #include <algorithm>
+#include <functional>
 #include <numeric>
 #include <random>
 #include <string>
@@ -13,9 +15,17 @@
 namespace
 {
 
-bool verify(std::string_view author, std::string_view, std::string_view sig)
+// Stands for a signature: depends on the author's key and on every byte.
+std::string sign(std::string_view author, std::string_view bytes)
 {
-    return sig == std::string(author) + "-key";
+    return fmt::format("{}-key-{}", author,
+                       std::hash<std::string_view>()(bytes));
+}
+
+bool verify(std::string_view author, std::string_view bytes,
+            std::string_view signature)
+{
+    return signature == sign(author, bytes);
 }
 
 // The configuration stream: one payload an offset.
@@ -60,9 +70,9 @@
     configuration_change change;
     change.publish_id = author + "@" + std::to_string(base.offset);
     change.base = base;
-    change.signature = author + "-key";
     change.author = std::move(author);
     change.text = std::move(text);
+    change.signature = sign(change.author, signed_bytes(change));
     return change;
 }
 
@@ -213,13 +223,17 @@
     auto forged = change_by("a", {}, weight("x", 2));
     forged.signature = "guess";
     log.append(encode(forged));
+    auto altered = change_by("a", {}, weight("x", 2));
+    altered.text = weight("x", 900);
+    log.append(encode(altered));
     log.append(encode(change_by("a", {}, "[organisation x]\nweight = -1\n")));
     log.append("no record at all");
     auto const decisions = reader.read(log);
-    BOOST_REQUIRE_EQUAL(decisions.size(), 2U);
+    BOOST_REQUIRE_EQUAL(decisions.size(), 3U);
     BOOST_CHECK(decisions[0].fate == change_fate::not_signed);
-    BOOST_CHECK(decisions[1].fate == change_fate::invalid);
-    BOOST_CHECK(decisions[1].reason.find("line 2, column 10") !=
+    BOOST_CHECK(decisions[1].fate == change_fate::not_signed);
+    BOOST_CHECK(decisions[2].fate == change_fate::invalid);
+    BOOST_CHECK(decisions[2].reason.find("line 2, column 10") !=
                 std::string::npos);
     BOOST_CHECK(reader.store.in_force() == revision{});
 }
--- a/src/core/membership_test.cpp
+++ b/src/core/membership_test.cpp
@@ -559,7 +559,9 @@
         {
             for (int i = 0; i < 50; ++i)
             {
-                vm->state().set(f.now, soft_kind::upstream_load,
+                vm->state().set(f.now,
+                                i % 2 == 0 ? soft_kind::upstream_load
+                                           : soft_kind::quarantine, // urgent
                                 fmt::format("u{}", i), second);
             }
         }
