Listening queues of 1,024 connections: a burst does not wait for a SYN retry

Cause: Qt listens with a queue of 50, so that a burst of connections found it full and waited a second for the next SYN, or failed with connect_timeout, as 680 streams of the relay bench did. A test opens 200 before the loop runs.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -27,6 +27,8 @@
 using steady_time = steady_clock::time_point;
 
 constexpr qint64 socket_buffer_bytes = qint64{64} << 10;
+// Connections that wait for the event loop; more have to try again.
+constexpr int listen_backlog = 1024;
 constexpr std::size_t request_id_bytes = 128;
 // Connections over the limit that get a refusal; further ones are reset.
 constexpr std::size_t turned_away_connections = 256;
@@ -780,6 +782,8 @@
 absl::Status http_server::listen(QHostAddress const& address,
                                  std::uint16_t port)
 {
+    impl_->server_.setListenBacklogSize(listen_backlog);
+    impl_->server_.setMaxPendingConnections(listen_backlog);
     if (!impl_->server_.listen(address, port))
     {
         return absl::UnavailableError(
--- a/src/net/http_server_test.cpp
+++ b/src/net/http_server_test.cpp
@@ -202,6 +202,20 @@
     BOOST_TEST(f.wait_for_requests(2));
 }
 
+BOOST_AUTO_TEST_CASE(a_burst_of_connections_waits_for_the_event_loop)
+{
+    fixture f;
+    std::vector<std::unique_ptr<peer_socket>> callers;
+    for (std::size_t i = 0; i < 200; ++i)
+    {
+        callers.push_back(std::make_unique<peer_socket>(f.server.port()));
+        BOOST_REQUIRE((callers.back()->socket().state() ==
+                       QAbstractSocket::ConnectedState));
+        callers.back()->send(get_a);
+    }
+    BOOST_TEST(f.wait_for_requests(200));
+}
+
 BOOST_AUTO_TEST_CASE(any_split_of_the_bytes_gives_the_same_requests)
 {
     std::string const bytes =
--- a/src/net/peer_transport.cpp
+++ b/src/net/peer_transport.cpp
@@ -32,6 +32,8 @@
 using steady_time = steady_clock::time_point;
 
 constexpr std::chrono::milliseconds sweep_interval{20};
+// Connections that wait for the event loop; more have to try again.
+constexpr int listen_backlog = 1024;
 // Messages that are sent and not yet acknowledged, on one connection.
 constexpr std::size_t messages_in_flight = 64;
 constexpr qint64 socket_buffer_bytes = qint64{256} << 10;
@@ -816,6 +818,7 @@
     {
         return loaded;
     }
+    impl_->server_.setListenBacklogSize(listen_backlog);
     if (!impl_->server_.listen(address, port))
     {
         return absl::UnavailableError(
--- a/src/net/relay_main.cpp
+++ b/src/net/relay_main.cpp
@@ -21,6 +21,7 @@
 
 #include <sys/resource.h>
 
+#include <cstdlib>
 #include <iostream>
 #include <memory>
 #include <vector>
@@ -61,6 +62,12 @@
     return micros(usage.ru_utime) + micros(usage.ru_stime);
 }
 
+[[noreturn]] void give_up(std::string const& reason)
+{
+    fmt::print(stderr, "a stream failed: {}\n", reason);
+    std::_Exit(EXIT_FAILURE);
+}
+
 // Joins each caller's exchange to one of the same number upstream.
 class relay
 {
@@ -81,10 +88,10 @@
                    { server_.answer_piece(e, bytes); },
                    [this](amarantharch::exchange_id e)
                    { server_.answer_end(e); },
-                   [this](amarantharch::exchange_id e, amarantharch::verdict,
-                          std::string const&)
+                   [](amarantharch::exchange_id, amarantharch::verdict,
+                      std::string const& reason)
                    {
-                       server_.answer_abort(e);
+                       give_up(reason);
                    }})
     {
     }
@@ -108,6 +115,7 @@
 public:
     explicit traffic(load what) : load_(what)
     {
+        upstream_.setListenBacklogSize(what.streams);
         upstream_.listen(QHostAddress::LocalHost, 0);
         QObject::connect(&upstream_, &QTcpServer::newConnection, &upstream_,
                          [this] { accept(); });
@@ -129,6 +137,9 @@
             QTcpSocket* const socket = callers_.back().get();
             QObject::connect(socket, &QTcpSocket::readyRead, socket,
                              [this, socket] { receive(socket->readAll()); });
+            QObject::connect(socket, &QTcpSocket::errorOccurred, socket,
+                             [socket]
+                             { give_up(socket->errorString().toStdString()); });
             socket->connectToHost(QHostAddress::LocalHost, port);
             socket->write(request);
         }
@@ -258,7 +269,7 @@
     options::options_description known("amarantharch-relay-bench");
     known.add_options()("help", "print this text")(
         "streams", options::value(&what.streams)->default_value(680),
-        "concurrent streams")(
+        "concurrent streams; each takes four descriptors")(
         "interval-ms", options::value(&what.interval_ms)->default_value(48),
         "time between the tokens of a stream")(
         "tokens", options::value(&what.tokens)->default_value(100),
