Pieces are given to the kernel at once, without a turn of the event loop

Change: bytes go to the kernel directly unless earlier ones wait; Qt gets the rest. What remains is mostly the dispatcher's poll over all descriptors; not proved further.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -2,6 +2,7 @@
 
 #include "net/endpoint.hpp"
 #include "net/http_parser.hpp"
+#include "net/socket_write.hpp"
 
 #include <QTcpSocket>
 #include <QTimer>
@@ -244,14 +245,14 @@
         }
     }
 
-    // Hands the request to the socket; the event loop gives it to the kernel.
+    // Hands the request to the kernel, and what it does not take to the
+    // socket.
     static void write(exchange_row& row, steady_time now)
     {
         row.state = phase::head;
         row.deadline = after(now, row.timeouts.head);
         row.socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
-        row.socket->write(row.wire.data(),
-                          static_cast<qint64>(row.wire.size()));
+        row.taken = write_at_once(*row.socket, row.wire) > 0;
         row.wire.clear();
         row.wire.shrink_to_fit();
     }
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -1,6 +1,7 @@
 #include "net/http_server.hpp"
 
 #include "net/http_parser.hpp"
+#include "net/socket_write.hpp"
 
 #include <QTcpServer>
 #include <QTcpSocket>
@@ -460,7 +461,7 @@
         {
             row.write_progress = steady_clock::now();
         }
-        row.socket->write(bytes.data(), static_cast<qint64>(bytes.size()));
+        write_at_once(*row.socket, bytes);
     }
 
     // The fields by which this connection, not the answer, is governed.
