--- a/src/core/request_path.cpp
+++ b/src/core/request_path.cpp
@@ -2,6 +2,7 @@
 
 #include "core/prefix_cache.hpp"
 
+#include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
 #include <fmt/format.h>
 
@@ -25,7 +26,10 @@
 constexpr std::uint8_t least_interactive_priority = 6;
 constexpr std::uint8_t least_standard_priority = 3;
 constexpr std::string_view inquiry_prefix = "/v1/requests/";
+constexpr int http_ok = 200;
 constexpr int http_server_error = 500;
+constexpr std::string_view stream_id_header = "X-Stream-Id";
+constexpr std::string_view resume_header = "X-Resume-From";
 
 request_class class_of(std::uint8_t priority)
 {
@@ -91,6 +95,24 @@
     return request;
 }
 
+bool equals_ignoring_case(std::string_view a, std::string_view b)
+{
+    return absl::EqualsIgnoreCase(absl::string_view(a.data(), a.size()),
+                                  absl::string_view(b.data(), b.size()));
+}
+
+// Headers of a caller that an upstream gets from this VM instead, or not at
+// all.
+bool is_replaced(header_field const& field)
+{
+    constexpr std::string_view names[] = {
+        "Authorization", "X-Request-Id", "X-Organisation", "X-Priority",
+        "X-Timeout-Ms",  "X-Stream-Id",  "X-Resume-From"};
+    return std::any_of(std::begin(names), std::end(names),
+                       [&](std::string_view name)
+                       { return equals_ignoring_case(field.name, name); });
+}
+
 bool wants_asynchronous(call const& request)
 {
     return header_value(request.headers, "Prefer") == "respond-async";
@@ -111,6 +133,40 @@
     return profile;
 }
 
+// Whether a model engine's request body asks for a stream of tokens. Looks for
+// the member only; a body that is not JSON is the engine's to refuse.
+bool wants_stream(std::string const& body)
+{
+    constexpr std::string_view member = "\"stream\"";
+    constexpr std::string_view spaces = " \t\r\n";
+    auto const at = body.find(member);
+    if (at == std::string::npos)
+    {
+        return false;
+    }
+    auto const colon = body.find_first_not_of(spaces, at + member.size());
+    if (colon == std::string::npos || body[colon] != ':')
+    {
+        return false;
+    }
+    auto const value = body.find_first_not_of(spaces, colon + 1);
+    return value != std::string::npos && body.compare(value, 4, "true") == 0;
+}
+
+token_offset resume_offset(header_list const& headers)
+{
+    token_offset offset = 0;
+    std::string const text(header_value(headers, resume_header));
+    return absl::SimpleAtoi(text, &offset) ? offset : 0;
+}
+
+std::string stream_id_of(call const& request)
+{
+    std::string_view const given =
+        header_value(request.headers, stream_id_header);
+    return given.empty() ? request.id : std::string(given);
+}
+
 ledger_options ledger_options_of(request_path_options const& options)
 {
     ledger_options result = options.requests_ledger;
@@ -125,7 +181,7 @@
                            record_appender append)
     : options_(std::move(options)), emit_(std::move(emit)),
       append_(std::move(append)), site_(std::make_shared<site>()),
-      router_(options_.routing), retries_(options_.retries),
+      router_(options_.routing), retries_(options_.retries), outliers_(options_.outliers),
       ledger_(ledger_options_of(options_),
               [this](ledger_effect const& effect) { take(present_, effect); })
 {
@@ -237,6 +293,11 @@
     r.priority = class_of(route->priority);
     r.deadline = now + route->timeout;
     held_bytes_ += request.body.size();
+    if (route->kind == upstream_kind::engine && wants_stream(request.body))
+    {
+        r.relay.emplace(stream_id_of(request), resume_offset(request.headers),
+                        options_.stream_history_bytes);
+    }
     note("request_received", request.id,
          fmt::format("route={} organisation={}", route->name, *organisation));
     if (stop_by_ && r.deadline > *stop_by_ - stop_margin)
@@ -434,8 +495,14 @@
 call request_path::outgoing(time_point now, row const& r) const
 {
     call request = r.request;
-    std::erase_if(request.headers, [](header_field const& field)
-                  { return field.name == "Authorization"; });
+    std::erase_if(request.headers, is_replaced);
+    if (r.relay)
+    {
+        request.headers.push_back(
+            {std::string(stream_id_header), r.relay->stream()});
+        request.headers.push_back({std::string(resume_header),
+                                   fmt::to_string(r.relay->next_offset())});
+    }
     request.headers.push_back({"X-Request-Id", r.request.id});
     request.headers.push_back({"X-Organisation", r.organisation});
     request.headers.push_back({"X-Priority", fmt::to_string(r.route.priority)});
@@ -461,6 +528,10 @@
     r.first_seen = false;
     ++r.attempts;
     attempts_[r.attempt] = r.request.id;
+    if (r.relay)
+    {
+        r.relay->begin(r.attempt);
+    }
     router_.on_sent(now, r.attempt, features, *picked, upstreams_);
     upstream_profile const& profile = upstreams_.row(r.upstream).profile;
     note("attempt_started", r.request.id,
@@ -504,7 +575,10 @@
     r->first_seen = true;
     r->run = verdict::ran;
     retries_.on_first_byte(r->route.service, now - r->attempt_started);
-    router_.on_first_token(what.attempt, std::nullopt);
+    if (!r->relay)
+    {
+        router_.on_first_token(what.attempt, std::nullopt);
+    }
     if (r->admitted)
     {
         admission_of(r->route.service).on_first(now, r->request.id);
@@ -513,22 +587,37 @@
     r->outcome.status = what.status;
     r->outcome.content_type =
         std::string(header_value(what.headers, "Content-Type"));
-    if (r->caller_waits)
+    if (r->relay && what.status != http_ok)
+    {
+        r->relay.reset(); // an error's body is passed on as it is
+    }
+    if (r->caller_waits && !r->answer_begun)
     {
         r->answer_begun = true;
         header_list headers = what.headers;
+        if (r->relay)
+        {
+            headers.push_back(
+                {std::string(stream_id_header), r->relay->stream()});
+        }
         headers.push_back({"X-Verdict", std::string(name(verdict::ran))});
         emit_(answer_head{r->request.id, what.status, std::move(headers)});
     }
 }
 
-void request_path::handle(time_point, upstream_piece const& what)
+void request_path::handle(time_point now, upstream_piece const& what)
 {
+    present_ = now;
     row* const r = row_of(what.attempt);
     if (r == nullptr)
     {
         return;
     }
+    if (r->relay)
+    {
+        relay_piece(now, *r, what.bytes);
+        return;
+    }
     r->answer_bytes += what.bytes.size();
     // Collected until it is too large to be kept, and then no further.
     if (r->right &&
@@ -542,6 +631,31 @@
     }
 }
 
+// Passes on what the relay lets through; a gap or malformed bytes end the
+// attempt, and the stream is resumed elsewhere.
+void request_path::relay_piece(time_point now, row& r, std::string const& bytes)
+{
+    std::string out;
+    bool const first = r.answer_bytes == 0;
+    relay_state const state = r.relay->piece(r.attempt, bytes, out);
+    if (first && !out.empty())
+    {
+        auto const cached =
+            static_cast<std::uint32_t>(r.relay->usage().cached_tokens);
+        router_.on_first_token(r.attempt, cached);
+    }
+    r.answer_bytes += out.size();
+    if (!out.empty())
+    {
+        emit_(answer_piece{r.request.id, std::move(out)});
+    }
+    if (state == relay_state::waiting)
+    {
+        emit_(cancel_attempt{r.attempt});
+        failed(now, r, verdict::ran, "stream_broken");
+    }
+}
+
 void request_path::handle(time_point now, upstream_end const& what)
 {
     present_ = now;
@@ -550,6 +664,12 @@
     {
         return;
     }
+    if (r->relay && r->relay->end(what.attempt) != relay_state::done)
+    {
+        failed(now, *r, verdict::ran, "stream_cut");
+        return;
+    }
+    outliers_.on_result(now, r->upstream, true, upstreams_);
     end_attempt(now, *r);
     retries_.on_success(r->route.service);
     finish(now, *r);
@@ -571,7 +691,12 @@
     note("attempt_failed", r.request.id,
          fmt::format("attempt={} run={} reason={}", r.attempt, name(run),
                      reason));
+    outliers_.on_result(now, r.upstream, false, upstreams_);
     r.tried.push_back(r.upstream);
+    if (r.relay)
+    {
+        r.relay->end(r.attempt);
+    }
     end_attempt(now, r);
     r.run = combine(r.run, run);
     if (try_again(now, r))
@@ -589,6 +714,7 @@
     question.run = r.run;
     question.idempotent = r.route.idempotent;
     question.answer_begun = r.answer_begun;
+    question.resumable = r.relay.has_value();
     question.attempts = r.attempts;
     question.deadline = r.deadline;
     retry_decision const decision = retries_.ask(now, question);
@@ -640,6 +766,22 @@
     remove(now, r);
 }
 
+// Tells the caller of a stream that has begun where to go on, since its answer
+// can no longer be refused: it is cut after this event.
+void request_path::give_up_stream(row const& r, refusal const& why)
+{
+    if (!r.relay || !r.answer_begun)
+    {
+        return;
+    }
+    emit_(answer_piece{
+        r.request.id,
+        fmt::format("event: error\ndata: {{\"verdict\":\"{}\",\"reason\":"
+                    "\"{}\",\"retry_after_ms\":{},\"resume_from\":{}}}\n\n",
+                    name(why.run), why.reason, to_millis(why.retry_after),
+                    r.relay->next_offset())});
+}
+
 // Reports the run, if the ledger gave this row the right to one.
 void request_path::leave_ledger(time_point now, row& r)
 {
@@ -695,8 +837,9 @@
     remove(now, r);
 }
 
-// Gives the final answer on a request whose deadline has passed.
-void request_path::expire(time_point now, row& r)
+// Gives the final answer on a request whose time has run out.
+void request_path::expire(time_point now, row& r, int status,
+                          std::string reason)
 {
     if (r.at == stage::running)
     {
@@ -712,7 +855,7 @@
     {
         admission_of(r.route.service).abandon(r.request.id);
     }
-    refuse(now, r, 504, "deadline_passed", failure_retry_after);
+    refuse(now, r, status, std::move(reason), failure_retry_after);
 }
 
 void request_path::handle(time_point now, stop_requested const& what)
@@ -765,11 +908,11 @@
 {
     present_ = now;
     ledger_.tick(now);
+    bool const last_moment = stop_by_ && now >= *stop_by_ - stop_margin;
     std::vector<request_id> expired;
     std::vector<request_id> due;
     for (auto const& [id, r] : rows_)
     {
-        bool const last_moment = stop_by_ && now >= *stop_by_ - stop_margin;
         if (now >= r.deadline || last_moment)
         {
             expired.push_back(id);
@@ -781,7 +924,10 @@
     }
     for (request_id const& id : expired)
     {
-        expire(now, rows_.at(id));
+        row& r = rows_.at(id);
+        bool const late = now >= r.deadline;
+        late ? expire(now, r, 504, "deadline_passed")
+             : expire(now, r, 503, "stopping");
     }
     for (request_id const& id : due)
     {
