Body budgets of the admin port and the stand-ins by name

Their limits were given by position; a field that came between made the budget for bodies 64 bytes, so every publish got 503 body_memory_exhausted. Found by the test that publishes at one VM.

--- a/src/app/admin_server.cpp
+++ b/src/app/admin_server.cpp
@@ -12,8 +12,11 @@
 namespace
 {
 
-constexpr http_server_limits admin_limits{16 * 1024, std::uint64_t{1} << 20,
-                                          64};
+constexpr http_server_limits admin_limits{
+    .body_bytes = std::uint64_t{1} << 20,
+    .body_memory_bytes = std::uint64_t{8} << 20,
+    .connections = 64,
+};
 constexpr std::string_view drain_timeout_key = "timeout_ms=";
 constexpr std::string_view json_type = "application/json";
 
--- a/src/standin/http_front.cpp
+++ b/src/standin/http_front.cpp
@@ -11,7 +11,12 @@
 constexpr std::chrono::milliseconds tick_interval{2};
 constexpr int crash_exit_status = 70;
 
-constexpr http_server_limits limits{64 * 1024, std::uint64_t{16} << 20, 16384};
+constexpr http_server_limits limits{
+    .header_bytes = 64 * 1024,
+    .body_bytes = std::uint64_t{16} << 20,
+    .connections = 16384,
+    .connections_per_address = 16384,
+};
 
 time_point present()
 {
