--- a/src/app/commands.cpp
+++ b/src/app/commands.cpp
@@ -4,6 +4,7 @@
 #include "app/log.hpp"
 #include "app/server.hpp"
 #include "app/settings.hpp"
+#include "app/signal_watcher.hpp"
 
 #include <QCoreApplication>
 
@@ -64,6 +65,12 @@
     return count == 0 ? exit_success : exit_fault;
 }
 
+void stop_loop()
+{
+    log(log_level::info, "stopped", {});
+    QCoreApplication::exit(exit_success);
+}
+
 int serve(options::variables_map const& given)
 {
     auto const chosen = read_settings(given["settings"].as<std::string>());
@@ -73,7 +80,7 @@
         return exit_fault;
     }
     set_log_level(chosen->least_logged);
-    server subject(*chosen);
+    server subject(*chosen, stop_loop);
     absl::Status const started = subject.start();
     if (!started.ok())
     {
@@ -81,6 +88,14 @@
             {{"reason", std::string(started.message())}});
         return exit_fault;
     }
+    auto const watcher = signal_watcher::watch(
+        [&] { subject.drain(chosen->limits.drain_timeout); });
+    if (!watcher.ok())
+    {
+        log(log_level::error, "start_failed",
+            {{"reason", std::string(watcher.status().message())}});
+        return exit_fault;
+    }
     return QCoreApplication::exec();
 }
 
@@ -116,9 +131,10 @@
 std::vector<command_row> all_commands()
 {
     std::vector<command_row> commands = vm_commands();
-    for (command_row const& row : operator_commands())
+    for (auto const& rows :
+         {operator_commands(), publish_commands(), key_commands()})
     {
-        commands.push_back(row);
+        commands.insert(commands.end(), rows.begin(), rows.end());
     }
     return commands;
 }
--- a/src/core/node.hpp
+++ b/src/core/node.hpp
@@ -18,6 +18,7 @@
 #include "core/command.hpp"
 #include "core/control_plane.hpp"
 #include "core/event.hpp"
+#include "core/peer_exchange.hpp"
 #include "core/request_path.hpp"
 #include "core/site.hpp"
 #include "core/time.hpp"
@@ -53,12 +54,6 @@
     // Takes one event; emits the commands that follow from it.
     void handle(time_point now, event const& what);
 
-    // Starts to publish a configuration change; see control_plane.
-    publish_report publish(time_point now, configuration_change change)
-    {
-        return control_.publish(now, std::move(change));
-    }
-
     // Whether callers should be sent here.
     node_readiness readiness() const;
 
@@ -66,6 +61,11 @@
     {
         return requests_;
     }
+    // To publish configuration changes, and to be read.
+    control_plane& control()
+    {
+        return control_;
+    }
     control_plane const& control() const
     {
         return control_;
@@ -92,6 +92,7 @@
     time_point present_; // of the event in hand
     control_plane control_;
     request_path requests_;
+    peer_exchange exchange_;
 };
 
 } // namespace amarantharch
--- a/src/core/request_path.cpp
+++ b/src/core/request_path.cpp
@@ -2,6 +2,7 @@
 
 #include "core/prefix_cache.hpp"
 
+#include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
 #include <fmt/format.h>
 
@@ -21,11 +22,19 @@
 constexpr duration way_back = std::chrono::milliseconds(5);
 // A request that may not end before the VM stops is not taken any more.
 constexpr duration stop_margin = std::chrono::milliseconds(500);
+// How often a request looks again for an upstream that it may run on.
+constexpr duration upstream_wait = std::chrono::milliseconds(20);
+// Crashes of one upstream seen within this time are one crash; it names the
+// crash alike at all VMs, since an upstream does not tell its incarnation.
+constexpr duration crash_resolution = std::chrono::milliseconds(500);
 constexpr std::uint32_t default_output_tokens = 128;
 constexpr std::uint8_t least_interactive_priority = 6;
 constexpr std::uint8_t least_standard_priority = 3;
 constexpr std::string_view inquiry_prefix = "/v1/requests/";
+constexpr int http_ok = 200;
 constexpr int http_server_error = 500;
+constexpr std::string_view stream_id_header = "X-Stream-Id";
+constexpr std::string_view resume_header = "X-Resume-From";
 
 request_class class_of(std::uint8_t priority)
 {
@@ -91,6 +100,24 @@
     return request;
 }
 
+bool equals_ignoring_case(std::string_view a, std::string_view b)
+{
+    return absl::EqualsIgnoreCase(absl::string_view(a.data(), a.size()),
+                                  absl::string_view(b.data(), b.size()));
+}
+
+// Headers of a caller that an upstream gets from this VM instead, or not at
+// all.
+bool is_replaced(header_field const& field)
+{
+    constexpr std::string_view names[] = {
+        "Authorization", "X-Request-Id", "X-Organisation", "X-Priority",
+        "X-Timeout-Ms",  "X-Stream-Id",  "X-Resume-From"};
+    return std::any_of(std::begin(names), std::end(names),
+                       [&](std::string_view name)
+                       { return equals_ignoring_case(field.name, name); });
+}
+
 bool wants_asynchronous(call const& request)
 {
     return header_value(request.headers, "Prefer") == "respond-async";
@@ -111,6 +138,40 @@
     return profile;
 }
 
+// Whether a model engine's request body asks for a stream of tokens. Looks for
+// the member only; a body that is not JSON is the engine's to refuse.
+bool wants_stream(std::string const& body)
+{
+    constexpr std::string_view member = "\"stream\"";
+    constexpr std::string_view spaces = " \t\r\n";
+    auto const at = body.find(member);
+    if (at == std::string::npos)
+    {
+        return false;
+    }
+    auto const colon = body.find_first_not_of(spaces, at + member.size());
+    if (colon == std::string::npos || body[colon] != ':')
+    {
+        return false;
+    }
+    auto const value = body.find_first_not_of(spaces, colon + 1);
+    return value != std::string::npos && body.compare(value, 4, "true") == 0;
+}
+
+token_offset resume_offset(header_list const& headers)
+{
+    token_offset offset = 0;
+    std::string const text(header_value(headers, resume_header));
+    return absl::SimpleAtoi(text, &offset) ? offset : 0;
+}
+
+std::string stream_id_of(call const& request)
+{
+    std::string_view const given =
+        header_value(request.headers, stream_id_header);
+    return given.empty() ? request.id : std::string(given);
+}
+
 ledger_options ledger_options_of(request_path_options const& options)
 {
     ledger_options result = options.requests_ledger;
@@ -126,6 +187,8 @@
     : options_(std::move(options)), emit_(std::move(emit)),
       append_(std::move(append)), site_(std::make_shared<site>()),
       router_(options_.routing), retries_(options_.retries),
+      outliers_(options_.outliers), quarantine_(options_.quarantined),
+      crashes_(options_.crash_window),
       ledger_(ledger_options_of(options_),
               [this](ledger_effect const& effect) { take(present_, effect); })
 {
@@ -236,7 +299,14 @@
     r.route = *route;
     r.priority = class_of(route->priority);
     r.deadline = now + route->timeout;
+    r.print = fingerprint_of(route->service, request.method, request.target,
+                             request.body);
     held_bytes_ += request.body.size();
+    if (route->kind == upstream_kind::engine && wants_stream(request.body))
+    {
+        r.relay.emplace(stream_id_of(request), resume_offset(request.headers),
+                        options_.stream_history_bytes);
+    }
     note("request_received", request.id,
          fmt::format("route={} organisation={}", route->name, *organisation));
     if (stop_by_ && r.deadline > *stop_by_ - stop_margin)
@@ -344,15 +414,21 @@
         return;
     }
     auto const& refused = std::get<refused_reply>(effect);
-    auto const found = rows_.find(refused.request);
+    end_refused(now, refused.request, refused.why);
+}
+
+// Passes on the ledger's refusal of a request or of a question about one.
+void request_path::end_refused(time_point now, request_id const& id,
+                               refusal const& why)
+{
+    auto const found = rows_.find(id);
     if (found == rows_.end())
     {
-        emit_(answer_refusal{refused.request, refused.why});
+        emit_(answer_refusal{id, why});
         return;
     }
-    found->second.run = combine(found->second.run, refused.why.run);
-    refuse(now, found->second, refused.why.status, refused.why.reason,
-           refused.why.retry_after);
+    found->second.run = combine(found->second.run, why.run);
+    refuse(now, found->second, why.status, why.reason, why.retry_after);
 }
 
 // Answers that an asynchronous request is kept and where to ask for its
@@ -374,6 +450,15 @@
 void request_path::repeat(time_point now, request_id const& id,
                           kept_outcome const& outcome)
 {
+    if (outcome.run != verdict::ran || !outcome.answer_kept)
+    {
+        bool const ran = outcome.run == verdict::ran;
+        end_refused(now, id,
+                    {409, outcome.run,
+                     ran ? "answer_not_kept" : ledger_reasons::outcome_unknown,
+                     duration::zero()});
+        return;
+    }
     header_list headers{{"X-Verdict", std::string(name(outcome.run))},
                         {"X-Repeated", "yes"}};
     if (!outcome.content_type.empty())
@@ -405,6 +490,8 @@
     }
     row& r = rows_[request.id];
     held_bytes_ += request.body.size();
+    r.print = fingerprint_of(route->service, request.method, request.target,
+                             request.body);
     r.request = std::move(request);
     r.organisation = what.call.organisation;
     r.route = *route;
@@ -434,8 +521,14 @@
 call request_path::outgoing(time_point now, row const& r) const
 {
     call request = r.request;
-    std::erase_if(request.headers, [](header_field const& field)
-                  { return field.name == "Authorization"; });
+    std::erase_if(request.headers, is_replaced);
+    if (r.relay)
+    {
+        request.headers.push_back(
+            {std::string(stream_id_header), r.relay->stream()});
+        request.headers.push_back({std::string(resume_header),
+                                   fmt::to_string(r.relay->next_offset())});
+    }
     request.headers.push_back({"X-Request-Id", r.request.id});
     request.headers.push_back({"X-Organisation", r.organisation});
     request.headers.push_back({"X-Priority", fmt::to_string(r.route.priority)});
@@ -445,10 +538,65 @@
     return request;
 }
 
+// Refuses a request that has crashed upstreams, or that may have until all
+// VMs' marks are in. True if the row is gone.
+bool request_path::held_back(time_point now, row& r)
+{
+    quarantine_decision const decision = quarantine_.decide(now, r.print);
+    r.alone = decision == quarantine_decision::run_alone;
+    if (decision == quarantine_decision::refuse)
+    {
+        refuse(now, r, 422, "quarantined", duration::zero());
+        return true;
+    }
+    if (decision == quarantine_decision::hold)
+    {
+        refuse(now, r, 503, "crash_suspected",
+               options_.quarantined.settle_time);
+        return true;
+    }
+    return false;
+}
+
+// Upstreams that the request has failed at, those reserved for others and,
+// if it must run alone, those that are in use.
+std::vector<upstream_index> request_path::exclusions_for(row const& r) const
+{
+    std::vector<upstream_index> excluded = r.tried;
+    for (auto const& [upstream, request] : reserved_)
+    {
+        excluded.push_back(upstream);
+    }
+    for (upstream_index i = 0; r.alone && i < upstreams_.size(); ++i)
+    {
+        if (upstreams_.row(i).in_flight > 0)
+        {
+            excluded.push_back(i);
+        }
+    }
+    return excluded;
+}
+
+void request_path::wait_for_upstream(time_point now, row& r)
+{
+    r.at = stage::waiting;
+    r.attempt_due = now + upstream_wait;
+}
+
 void request_path::dispatch(time_point now, row& r)
 {
+    if (held_back(now, r))
+    {
+        return;
+    }
     request_features const features = features_of(r);
-    auto const picked = router_.choose(now, features, upstreams_, r.tried);
+    auto const picked =
+        router_.choose(now, features, upstreams_, exclusions_for(r));
+    if (!picked && (r.alone || !reserved_.empty()))
+    {
+        wait_for_upstream(now, r);
+        return;
+    }
     if (!picked)
     {
         refuse(now, r, 503, "no_upstream", no_upstream_retry_after);
@@ -461,6 +609,14 @@
     r.first_seen = false;
     ++r.attempts;
     attempts_[r.attempt] = r.request.id;
+    if (r.alone)
+    {
+        reserved_[r.upstream] = r.request.id;
+    }
+    if (r.relay)
+    {
+        r.relay->begin(r.attempt);
+    }
     router_.on_sent(now, r.attempt, features, *picked, upstreams_);
     upstream_profile const& profile = upstreams_.row(r.upstream).profile;
     note("attempt_started", r.request.id,
@@ -477,6 +633,11 @@
 
 void request_path::end_attempt(time_point now, row& r)
 {
+    crashes_.ended(r.upstream, r.attempt);
+    if (r.alone)
+    {
+        reserved_.erase(r.upstream);
+    }
     router_.on_end(now, r.attempt, upstreams_);
     attempts_.erase(r.attempt);
     r.attempt = 0;
@@ -504,7 +665,10 @@
     r->first_seen = true;
     r->run = verdict::ran;
     retries_.on_first_byte(r->route.service, now - r->attempt_started);
-    router_.on_first_token(what.attempt, std::nullopt);
+    if (!r->relay)
+    {
+        router_.on_first_token(what.attempt, std::nullopt);
+    }
     if (r->admitted)
     {
         admission_of(r->route.service).on_first(now, r->request.id);
@@ -513,22 +677,37 @@
     r->outcome.status = what.status;
     r->outcome.content_type =
         std::string(header_value(what.headers, "Content-Type"));
-    if (r->caller_waits)
+    if (r->relay && what.status != http_ok)
+    {
+        r->relay.reset(); // an error's body is passed on as it is
+    }
+    if (r->caller_waits && !r->answer_begun)
     {
         r->answer_begun = true;
         header_list headers = what.headers;
+        if (r->relay)
+        {
+            headers.push_back(
+                {std::string(stream_id_header), r->relay->stream()});
+        }
         headers.push_back({"X-Verdict", std::string(name(verdict::ran))});
         emit_(answer_head{r->request.id, what.status, std::move(headers)});
     }
 }
 
-void request_path::handle(time_point, upstream_piece const& what)
+void request_path::handle(time_point now, upstream_piece const& what)
 {
+    present_ = now;
     row* const r = row_of(what.attempt);
     if (r == nullptr)
     {
         return;
     }
+    if (r->relay)
+    {
+        relay_piece(now, *r, what.bytes);
+        return;
+    }
     r->answer_bytes += what.bytes.size();
     // Collected until it is too large to be kept, and then no further.
     if (r->right &&
@@ -542,6 +721,31 @@
     }
 }
 
+// Passes on what the relay lets through; a gap or malformed bytes end the
+// attempt, and the stream is resumed elsewhere.
+void request_path::relay_piece(time_point now, row& r, std::string const& bytes)
+{
+    std::string out;
+    bool const first = r.answer_bytes == 0;
+    relay_state const state = r.relay->piece(r.attempt, bytes, out);
+    if (first && !out.empty())
+    {
+        auto const cached =
+            static_cast<std::uint32_t>(r.relay->usage().cached_tokens);
+        router_.on_first_token(r.attempt, cached);
+    }
+    r.answer_bytes += out.size();
+    if (!out.empty())
+    {
+        emit_(answer_piece{r.request.id, std::move(out)});
+    }
+    if (state == relay_state::waiting)
+    {
+        emit_(cancel_attempt{r.attempt});
+        failed(now, r, verdict::ran, "stream_broken");
+    }
+}
+
 void request_path::handle(time_point now, upstream_end const& what)
 {
     present_ = now;
@@ -550,7 +754,17 @@
     {
         return;
     }
+    if (r->relay && r->relay->end(what.attempt) != relay_state::done)
+    {
+        failed(now, *r, verdict::ran, "stream_cut");
+        return;
+    }
+    outliers_.on_result(now, r->upstream, true, upstreams_);
     end_attempt(now, *r);
+    if (r->alone)
+    {
+        quarantine_.ended_well_alone(now, r->print);
+    }
     retries_.on_success(r->route.service);
     finish(now, *r);
 }
@@ -571,16 +785,55 @@
     note("attempt_failed", r.request.id,
          fmt::format("attempt={} run={} reason={}", r.attempt, name(run),
                      reason));
+    note_lost(now, r, reason);
+    outliers_.on_result(now, r.upstream, false, upstreams_);
     r.tried.push_back(r.upstream);
+    if (r.relay)
+    {
+        r.relay->end(r.attempt);
+    }
     end_attempt(now, r);
     r.run = combine(r.run, run);
-    if (try_again(now, r))
+    if (held_back(now, r) || try_again(now, r))
     {
         return;
     }
     refuse(now, r, 502, reason, failure_retry_after);
 }
 
+// Looks for a crash of the upstream behind a lost connection.
+void request_path::note_lost(time_point now, row const& r,
+                             std::string const& reason)
+{
+    bool const lost = reason == "connection_lost" || reason == "answer_cut";
+    upstream_row const& upstream = upstreams_.row(r.upstream);
+    if (!lost || upstream.leaving || !upstream.present)
+    {
+        return;
+    }
+    attempts_in_flight present;
+    for (auto const& [attempt, request] : attempts_)
+    {
+        row const& other = rows_.at(request);
+        if (other.upstream == r.upstream)
+        {
+            present[attempt] = other.print;
+        }
+    }
+    auto const carried =
+        crashes_.lost(now, r.upstream, r.attempt, std::move(present));
+    if (carried)
+    {
+        auto const instant = static_cast<std::uint64_t>(now.time_since_epoch() /
+                                                        crash_resolution);
+        quarantine_.crashed(now, {upstream.profile.name, instant}, *carried,
+                            r.alone);
+        note("upstream_crashed", r.request.id,
+             fmt::format("upstream={} in_flight={}", upstream.profile.name,
+                         carried->size()));
+    }
+}
+
 bool request_path::try_again(time_point now, row& r)
 {
     retry_question question;
@@ -589,6 +842,7 @@
     question.run = r.run;
     question.idempotent = r.route.idempotent;
     question.answer_begun = r.answer_begun;
+    question.resumable = r.relay.has_value();
     question.attempts = r.attempts;
     question.deadline = r.deadline;
     retry_decision const decision = retries_.ask(now, question);
@@ -621,9 +875,9 @@
 void request_path::refuse(time_point now, row& r, int status,
                           std::string reason, duration retry_after)
 {
-    if (r.run == verdict::may_have_run && !r.route.idempotent)
+    if (r.run == verdict::may_have_run && !r.route.idempotent && r.attempts > 0)
     {
-        retry_after = duration::zero(); // it must not be sent again
+        retry_after = duration::zero(); // a repeat would learn no more
     }
     note("request_refused", r.request.id,
          fmt::format("verdict={} reason={}", name(r.run), reason));
@@ -640,6 +894,22 @@
     remove(now, r);
 }
 
+// Tells the caller of a stream that has begun where to go on, since its answer
+// can no longer be refused: it is cut after this event.
+void request_path::give_up_stream(row const& r, refusal const& why)
+{
+    if (!r.relay || !r.answer_begun)
+    {
+        return;
+    }
+    emit_(answer_piece{
+        r.request.id,
+        fmt::format("event: error\ndata: {{\"verdict\":\"{}\",\"reason\":"
+                    "\"{}\",\"retry_after_ms\":{},\"resume_from\":{}}}\n\n",
+                    name(why.run), why.reason, to_millis(why.retry_after),
+                    r.relay->next_offset())});
+}
+
 // Reports the run, if the ledger gave this row the right to one.
 void request_path::leave_ledger(time_point now, row& r)
 {
@@ -695,8 +965,9 @@
     remove(now, r);
 }
 
-// Gives the final answer on a request whose deadline has passed.
-void request_path::expire(time_point now, row& r)
+// Gives the final answer on a request whose time has run out.
+void request_path::expire(time_point now, row& r, int status,
+                          std::string reason)
 {
     if (r.at == stage::running)
     {
@@ -712,7 +983,7 @@
     {
         admission_of(r.route.service).abandon(r.request.id);
     }
-    refuse(now, r, 504, "deadline_passed", failure_retry_after);
+    refuse(now, r, status, std::move(reason), failure_retry_after);
 }
 
 void request_path::handle(time_point now, stop_requested const& what)
@@ -743,6 +1014,27 @@
     }
 }
 
+std::vector<service_usage> request_path::usage(std::string const& vm,
+                                               std::uint64_t incarnation)
+{
+    std::vector<service_usage> all;
+    for (auto& [service, gate] : admissions_)
+    {
+        all.push_back({service, gate.usage(vm, incarnation)});
+    }
+    return all;
+}
+
+void request_path::merge_usage(time_point now, std::string const& service,
+                               usage_summary const& peer)
+{
+    auto const gate = admissions_.find(service);
+    if (gate != admissions_.end()) // else nothing of it is admitted here
+    {
+        gate->second.merge(now, peer);
+    }
+}
+
 void request_path::apply(time_point now, log_batch const& batch)
 {
     present_ = now;
@@ -765,11 +1057,12 @@
 {
     present_ = now;
     ledger_.tick(now);
+    quarantine_.tick(now);
+    bool const last_moment = stop_by_ && now >= *stop_by_ - stop_margin;
     std::vector<request_id> expired;
     std::vector<request_id> due;
     for (auto const& [id, r] : rows_)
     {
-        bool const last_moment = stop_by_ && now >= *stop_by_ - stop_margin;
         if (now >= r.deadline || last_moment)
         {
             expired.push_back(id);
@@ -781,7 +1074,10 @@
     }
     for (request_id const& id : expired)
     {
-        expire(now, rows_.at(id));
+        row& r = rows_.at(id);
+        bool const late = now >= r.deadline;
+        late ? expire(now, r, 504, "deadline_passed")
+             : expire(now, r, 503, "stopping");
     }
     for (request_id const& id : due)
     {
