--- a/src/core/admission_test.cpp
+++ b/src/core/admission_test.cpp
@@ -190,7 +190,7 @@
     }
     queue.add_served_elsewhere("a", 1'000'000'000);
     int before = 0;
-    while (queue.pop(request_class::batch)->organisation == "b")
+    while (queue.pop(request_class::batch).value().organisation == "b")
     {
         ++before;
     }
