The log's clock, not the operator's, says when a revision was stored

Cause: a revision's age came from the operator's clock; with a clock ahead the checkpoint came after the record had expired. Change: the record's time in the log. Test: is_written_again_before_its_record_expires, with a clock 11 years ahead.

--- a/src/bench/scale_bench.cpp
+++ b/src/bench/scale_bench.cpp
@@ -406,7 +406,8 @@
     t.title = "configuration: one VM";
     t.header = {"upstreams", "snapshot_bytes", "change_bytes",
                 "first_ms",  "change_ms",      "heap_KiB"};
-    for (std::size_t const upstreams : {40, 400, 1000, 2000, 4300})
+    for (auto const upstreams :
+         std::vector<std::size_t>{40, 400, 1000, 2000, 4300})
     {
         t.rows.push_back(measure_configuration(upstreams));
     }
@@ -499,7 +500,7 @@
               "100 bytes";
     t.header = {"records/append", "bytes/record", "cpu_us/record",
                 "cpu_us/append"};
-    for (std::size_t const records : {1, 10, 100, 1000})
+    for (auto const records : std::vector<std::size_t>{1, 10, 100, 1000})
     {
         t.rows.push_back(measure_log(records));
     }
--- a/src/core/configuration_store.cpp
+++ b/src/core/configuration_store.cpp
@@ -228,7 +228,7 @@
     pending_bytes_ = 0;
 }
 
-std::vector<change_decision> configuration_store::apply(time_point now,
+std::vector<change_decision> configuration_store::apply(time_point,
                                                         log_batch const& batch)
 {
     std::vector<change_decision> decisions;
@@ -243,7 +243,7 @@
         if (record.position.offset >= before)
         {
             next_ = record.position.offset;
-            apply_record(now, record, decisions);
+            apply_record(record, decisions);
         }
     }
     next_ = std::max(before, batch.next);
@@ -254,29 +254,31 @@
     return decisions;
 }
 
-void configuration_store::apply_record(time_point now, log_record const& record,
+void configuration_store::apply_record(log_record const& record,
                                        std::vector<change_decision>& decisions)
 {
     if (auto change = decode_configuration_change(record.payload); change.ok())
     {
         if (known_)
         {
-            decisions.push_back(decide(now, record.position, *change));
+            decisions.push_back(decide(record.time, record.position, *change));
         }
         else
         {
-            keep_pending(record.position, *std::move(change));
+            keep_pending(record.time, record.position, *std::move(change));
         }
         return;
     }
     auto checkpoint = decode_configuration_snapshot(record.payload);
     if (checkpoint.ok())
     {
-        take_checkpoint(now, record.position, *checkpoint, decisions);
+        checkpoint->written = record.time;
+        take_checkpoint(record.position, *checkpoint, decisions);
     }
 }
 
-change_decision configuration_store::decide(time_point now, revision position,
+change_decision configuration_store::decide(time_point stored,
+                                            revision position,
                                             configuration_change const& change)
 {
     change_decision decision;
@@ -301,7 +303,7 @@
     }
     else
     {
-        take_content(now, change, decision);
+        take_content(stored, change, decision);
     }
     decision.in_force = in_force_;
     decision.changed_by = author_;
@@ -309,7 +311,7 @@
     return decision;
 }
 
-void configuration_store::take_content(time_point now,
+void configuration_store::take_content(time_point stored,
                                        configuration_change const& change,
                                        change_decision& decision)
 {
@@ -349,7 +351,7 @@
     sections_ = std::move(merged);
     tables_ = std::make_shared<configuration const>(std::move(compiled.tables));
     copy_at_ = decision.position.offset;
-    written_ = std::min(now, change.written);
+    written_ = stored;
     checkpoint_due_.reset();
 }
 
@@ -395,11 +397,11 @@
 
 // Bounded: a reader that cannot keep all changes starts its wait anew after
 // those, and needs a checkpoint that is newer still.
-void configuration_store::keep_pending(revision position,
+void configuration_store::keep_pending(time_point stored, revision position,
                                        configuration_change change)
 {
     pending_bytes_ += change.text.size();
-    pending_.push_back({position, std::move(change)});
+    pending_.push_back({stored, position, std::move(change)});
     if (pending_bytes_ > options_.pending_bytes)
     {
         start_ = position.offset + 1;
@@ -409,13 +411,13 @@
 }
 
 void configuration_store::take_checkpoint(
-    time_point now, revision position, configuration_snapshot const& from,
+    revision position, configuration_snapshot const& from,
     std::vector<change_decision>& decisions)
 {
     if (known_ && from.in_force == in_force_)
     {
         copy_at_ = position.offset;
-        written_ = std::min(now, from.written);
+        written_ = from.written;
         checkpoint_due_.reset();
     }
     if (known_ || start_ > from.as_of + 1 || from.as_of >= position.offset ||
@@ -423,16 +425,15 @@
     {
         return;
     }
-    if (replace_state(now, from).ok())
+    if (replace_state(from).ok())
     {
         copy_at_ = position.offset;
-        replay_pending(now, from.as_of, decisions);
+        replay_pending(from.as_of, decisions);
     }
 }
 
 absl::Status
-configuration_store::replace_state(time_point now,
-                                   configuration_snapshot const& from)
+configuration_store::replace_state(configuration_snapshot const& from)
 {
     auto parsed = parse_configuration(from.text);
     auto compiled = compile(parsed.sections);
@@ -445,7 +446,7 @@
     author_ = from.author;
     sections_ = std::move(parsed.sections);
     tables_ = std::make_shared<configuration const>(std::move(compiled.tables));
-    written_ = std::min(now, from.written);
+    written_ = from.written;
     copy_at_ = from.in_force.offset;
     checkpoint_due_.reset();
     for (auto const& row : from.recent)
@@ -461,7 +462,7 @@
 }
 
 void configuration_store::replay_pending(
-    time_point now, log_offset as_of, std::vector<change_decision>& decisions)
+    log_offset as_of, std::vector<change_decision>& decisions)
 {
     auto const pending = std::exchange(pending_, {});
     pending_bytes_ = 0;
@@ -469,12 +470,12 @@
     {
         if (row.position.offset > as_of)
         {
-            decisions.push_back(decide(now, row.position, row.change));
+            decisions.push_back(decide(row.stored, row.position, row.change));
         }
     }
 }
 
-absl::Status configuration_store::adopt(time_point now,
+absl::Status configuration_store::adopt(time_point,
                                         configuration_snapshot const& from_peer)
 {
     if (from_peer.in_force < in_force_ ||
@@ -488,7 +489,7 @@
         return absl::FailedPreconditionError(
             "changes after the snapshot may be missing");
     }
-    if (auto status = replace_state(now, from_peer); !status.ok())
+    if (auto status = replace_state(from_peer); !status.ok())
     {
         return status;
     }
@@ -502,7 +503,7 @@
     else
     {
         std::vector<change_decision> decisions;
-        replay_pending(now, from_peer.as_of, decisions);
+        replay_pending(from_peer.as_of, decisions);
     }
     update_readiness();
     return absl::OkStatus();
--- a/src/core/configuration_store.hpp
+++ b/src/core/configuration_store.hpp
@@ -46,7 +46,7 @@
     revision base;          // the revision it was written against
     bool replaces_all = false;
     std::string author;
-    time_point written{}; // by the operator's clock
+    time_point written{}; // by the operator's clock; informs only
     std::string text;
     std::string signature; // over signed_bytes()
 };
@@ -66,7 +66,7 @@
     revision in_force;
     log_offset as_of = 0;
     std::string author;
-    time_point written{}; // when its newest copy in the log was written
+    time_point written{}; // of its newest copy, by the log's clock
     std::string text;     // canonical
     std::vector<accepted_publish> recent; // oldest first
 };
@@ -189,6 +189,7 @@
 private:
     struct pending_change
     {
+        time_point stored;
         revision position;
         configuration_change change;
     };
@@ -199,20 +200,19 @@
     };
 
     void note_gap(log_offset first_retained);
-    void apply_record(time_point now, log_record const& record,
+    void apply_record(log_record const& record,
                       std::vector<change_decision>& decisions);
-    change_decision decide(time_point now, revision position,
+    change_decision decide(time_point stored, revision position,
                            configuration_change const& change);
-    void take_content(time_point now, configuration_change const& change,
+    void take_content(time_point stored, configuration_change const& change,
                       change_decision& decision);
-    void take_checkpoint(time_point now, revision position,
-                         configuration_snapshot const& from,
+    void take_checkpoint(revision position, configuration_snapshot const& from,
                          std::vector<change_decision>& decisions);
-    absl::Status replace_state(time_point now,
-                               configuration_snapshot const& from);
-    void replay_pending(time_point now, log_offset as_of,
+    absl::Status replace_state(configuration_snapshot const& from);
+    void replay_pending(log_offset as_of,
                         std::vector<change_decision>& decisions);
-    void keep_pending(revision position, configuration_change change);
+    void keep_pending(time_point stored, revision position,
+                      configuration_change change);
     void remember(change_decision const& decision);
     std::vector<std::string> changed_since(revision base) const;
     void update_readiness();
@@ -232,7 +232,7 @@
     revision heard_;
     bool log_reachable_ = true;
     log_offset copy_at_ = 0; // offset of the newest copy of in_force_
-    time_point written_{};   // of that copy
+    time_point written_{};   // of that copy, by the log's clock
     bool copy_lost_ = false; // no copy is retained
     std::optional<time_point> checkpoint_due_;
     std::vector<pending_change> pending_; // empty if known_
--- a/src/core/configuration_store_test.cpp
+++ b/src/core/configuration_store_test.cpp
@@ -32,6 +32,7 @@
 struct stream
 {
     std::vector<std::string> payloads;
+    std::vector<time_point> times;
     log_offset first_retained = 1;
 
     log_offset end() const
@@ -39,9 +40,11 @@
         return payloads.size() + 1;
     }
 
-    log_offset append(std::string payload)
+    log_offset append(std::string payload,
+                      time_point time = from_micros(1'000'000))
     {
         payloads.push_back(std::move(payload));
+        times.push_back(time);
         return payloads.size();
     }
 
@@ -57,6 +60,7 @@
             log_record record;
             record.position = {offset, 0};
             record.payload = payloads[offset - 1];
+            record.time = times[offset - 1];
             batch.records.push_back(std::move(record));
         }
         batch.next = offset;
@@ -356,7 +360,11 @@
 BOOST_AUTO_TEST_CASE(is_written_again_before_its_record_expires)
 {
     stream log;
-    log.append(encode(change_by("a", {}, weight("x", 2))));
+    auto change = change_by("a", {}, weight("x", 2));
+    // The operator's clock is years ahead: only the log's counts.
+    change.written = from_micros(0) + std::chrono::hours(100'000);
+    change.signature = sign("a", signed_bytes(change));
+    log.append(encode(change));
     duration const retention = std::chrono::hours(10);
     std::vector<vm> vms;
     for (int i = 0; i < 30; ++i)
@@ -365,7 +373,6 @@
         vms.back().read(log);
     }
     // Four retentions, minute by minute; a record expires after one.
-    std::vector<time_point> stored{vms[0].now};
     for (int minute = 0; minute < 40 * 60; ++minute)
     {
         for (auto& one : vms)
@@ -374,11 +381,10 @@
             one.read(log);
             if (auto payload = one.store.tick(one.now))
             {
-                log.append(*payload);
-                stored.push_back(one.now);
+                log.append(*payload, one.now);
             }
         }
-        while (vms[0].now - stored[log.first_retained - 1] > retention)
+        while (vms[0].now - log.times[log.first_retained - 1] > retention)
         {
             ++log.first_retained;
             BOOST_REQUIRE_LT(log.first_retained, log.end());
