--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -15,12 +15,9 @@
 // One probe in this many goes to a member thought gone, so that a healed cut
 // is noticed.
 constexpr std::uint64_t probes_per_revival = 10;
-constexpr std::size_t asks_per_tick = 50;
 constexpr std::size_t named_missing = 20;
 constexpr std::size_t relayed_limit = 256;
 constexpr int index_bits = 20;
-// Bytes of a message without updates and rows; it is always affordable.
-constexpr double least_budget = 100;
 
 std::int64_t to_value(log_position revision)
 {
@@ -41,20 +38,23 @@
                                 XXH3_64bits(purpose.data(), purpose.size()));
 }
 
-member_update update_of(member const& row, bool with_address)
+} // namespace
+
+member_update member::update(bool with_address) const
 {
-    member_update update{row.vm, row.incarnation, row.health, row.leaving, {},
-                         {}};
+    member_update result;
+    result.vm = vm;
+    result.incarnation = incarnation;
+    result.health = health;
+    result.leaving = leaving;
     if (with_address)
     {
-        update.address = row.address;
-        update.failure_domain = row.failure_domain;
+        result.address = address;
+        result.failure_domain = failure_domain;
     }
-    return update;
+    return result;
 }
 
-} // namespace
-
 member_state member::state() const
 {
     switch (health)
@@ -437,153 +437,6 @@
     return result;
 }
 
-void membership::heat(std::string const& vm, bool with_address)
-{
-    hot_[vm] = {0, with_address};
-}
-
-// Sends as many bytes of updates and rows as the budget allows.
-void membership::send(std::string const& to, gossip_message message,
-                      peer_sink const& emit, std::size_t extra_bytes)
-{
-    message.sender = own_update();
-    message.revision = revision_;
-    auto const* target = find(to);
-    if (target != nullptr && target->health != member_health::live &&
-        target->incarnation > 0)
-    {
-        message.members.push_back(update_of(*target, false)); // to be refuted
-    }
-    fill(message, affordable(extra_bytes), message.kind == gossip_kind::push);
-    emit_message(to, message, emit);
-}
-
-void membership::emit_message(std::string const& to,
-                              gossip_message const& message,
-                              peer_sink const& emit)
-{
-    peer_message out{to, peer_message_kind::membership, encode(message)};
-    ++traffic_.messages_sent;
-    traffic_.bytes_sent += out.payload.size();
-    budget_ -= static_cast<double>(out.payload.size());
-    emit(std::move(out));
-}
-
-std::size_t membership::affordable(std::size_t wanted) const
-{
-    auto const left = budget_ - least_budget;
-    return left <= 0 ? 0 : std::min(wanted, static_cast<std::size_t>(left));
-}
-
-void membership::fill(gossip_message& message, std::size_t bytes,
-                      bool urgent_only)
-{
-    bytes -= fill_members(message, bytes, urgent_only);
-    auto rows = state_.take_hot(bytes, transmissions(), urgent_only);
-    for (auto& row : rows)
-    {
-        bytes -= encoded_size(row);
-        message.rows.push_back(std::move(row));
-    }
-    // A push is for urgent news; the slow walk rides on probes.
-    if (!urgent_only)
-    {
-        fill_repair(message, std::min(bytes, options_.repair_bytes));
-    }
-}
-
-bool membership::is_urgent(std::string const& vm) const
-{
-    if (vm == options_.vm)
-    {
-        return leaving_;
-    }
-    auto const* row = find(vm);
-    return row != nullptr &&
-           (row->leaving || row->health == member_health::gone);
-}
-
-bool membership::has_urgent() const
-{
-    return state_.has_urgent() ||
-           std::ranges::any_of(hot_, [this](auto const& hot)
-                               { return is_urgent(hot.first); });
-}
-
-// The least sent updates first; returns the bytes used.
-std::size_t membership::fill_members(gossip_message& message, std::size_t bytes,
-                                     bool urgent_only)
-{
-    std::vector<std::map<std::string, hot_update>::iterator> order;
-    for (auto it = hot_.begin(); it != hot_.end(); ++it)
-    {
-        if (!urgent_only || is_urgent(it->first))
-        {
-            order.push_back(it);
-        }
-    }
-    std::ranges::sort(order, {}, [](auto it) { return it->second.sent; });
-    std::size_t used = 0;
-    for (auto it : order)
-    {
-        auto const* row = find(it->first);
-        if (row == nullptr && it->first != options_.vm)
-        {
-            hot_.erase(it);
-            continue;
-        }
-        auto update = row == nullptr ? own_update()
-                                     : update_of(*row, it->second.with_address);
-        auto const size = encoded_size(update);
-        if (used + size > bytes)
-        {
-            break;
-        }
-        used += size;
-        message.members.push_back(std::move(update));
-        if (++it->second.sent >= transmissions())
-        {
-            hot_.erase(it);
-        }
-    }
-    return used;
-}
-
-// Alternates between a slow walk over the members and one over the rows.
-void membership::fill_repair(gossip_message& message, std::size_t bytes)
-{
-    repair_rows_ = !repair_rows_;
-    if (repair_rows_)
-    {
-        for (auto& row : state_.take_repair(bytes))
-        {
-            message.rows.push_back(std::move(row));
-        }
-        return;
-    }
-    auto it = members_.lower_bound(repair_cursor_);
-    for (std::size_t left = members_.size(); left > 0; --left)
-    {
-        if (it == members_.end())
-        {
-            it = members_.begin();
-        }
-        auto update = update_of(it->second, true);
-        auto const size = encoded_size(update);
-        if (size > bytes)
-        {
-            break;
-        }
-        bytes -= size;
-        if (update.incarnation > 0)
-        {
-            message.members.push_back(std::move(update));
-        }
-        ++it;
-    }
-    repair_cursor_ = it == members_.end() ? std::string() : it->first;
-}
-
 // ---- What is due. ----
 
 void membership::tick(time_point now, peer_sink const& emit)
@@ -608,17 +461,6 @@
     ticked_ = now;
 }
 
-void membership::refill_budget(time_point now)
-{
-    if (ticked_ && now > *ticked_)
-    {
-        std::chrono::duration<double> const passed = now - *ticked_;
-        budget_ =
-            std::min(options_.burst_bytes,
-                     budget_ + passed.count() * options_.bytes_per_second);
-    }
-}
-
 // After a pause of this process nobody is judged by answers that may be
 // waiting unread.
 void membership::forgive_freeze(time_point now)
@@ -765,70 +607,6 @@
                   { return now - entry.second.sent > options_.probe_period; });
 }
 
-void membership::push_urgent(peer_sink const& emit)
-{
-    if (!has_urgent())
-    {
-        return;
-    }
-    for (auto const& vm : random_members(options_.push_fanout, {}))
-    {
-        if (affordable(options_.message_bytes) < options_.message_bytes ||
-            !has_urgent())
-        {
-            return;
-        }
-        gossip_message push;
-        push.kind = gossip_kind::push;
-        send(vm, std::move(push), emit, options_.message_bytes);
-    }
-}
-
-void membership::ask_next(peer_sink const& emit)
-{
-    auto const budget = budget_;
-    for (std::size_t i = 0; i < asks_per_tick && !asking_.empty(); ++i)
-    {
-        gossip_message ping;
-        ping.kind = gossip_kind::ping;
-        ping.sequence = next_sequence_++;
-        ping.sender = own_update();
-        ping.revision = revision_;
-        emit_message(asking_.back(), ping, emit);
-        asking_.pop_back();
-    }
-    budget_ = budget;
-}
-
-std::vector<std::string> membership::random_members(std::size_t count,
-                                                    std::string_view but)
-{
-    std::vector<std::string> chosen;
-    if (probe_order_.empty())
-    {
-        return chosen;
-    }
-    // A bounded number of draws: repeats and members not live are skipped.
-    auto const draws = count * 4;
-    for (std::size_t i = 0; i < draws && chosen.size() < count; ++i)
-    {
-        auto const& vm = probe_order_[random_() % probe_order_.size()];
-        if (vm != but && find(vm)->health == member_health::live &&
-            std::ranges::find(chosen, vm) == chosen.end())
-        {
-            chosen.push_back(vm);
-        }
-    }
-    return chosen;
-}
-
-int membership::transmissions() const
-{
-    constexpr int extra = 3;
-    auto const spread = std::log(static_cast<double>(fleet_size_) + 1);
-    return static_cast<int>(std::ceil(spread)) + extra;
-}
-
 duration membership::suspicion() const
 {
     auto const factor =
@@ -877,7 +655,7 @@
     {
         if (row.incarnation > 0)
         {
-            all.push_back(update_of(row, true));
+            all.push_back(row.update(true));
         }
     }
     return all;
--- a/src/core/membership.hpp
+++ b/src/core/membership.hpp
@@ -65,6 +65,8 @@
     log_position revision; // in force there when it was last heard
 
     member_state state() const;
+    // What is said of it to others, with its address or without.
+    member_update update(bool with_address) const;
 };
 
 // A row of the platform's list of VMs.
