--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -1,6 +1,7 @@
 #include "net/http_server.hpp"
 
 #include "net/http_parser.hpp"
+#include "net/socket_write.hpp"
 
 #include <QTcpServer>
 #include <QTcpSocket>
@@ -27,6 +28,8 @@
 using steady_time = steady_clock::time_point;
 
 constexpr qint64 socket_buffer_bytes = qint64{64} << 10;
+// Connections that wait for the event loop; more have to try again.
+constexpr int listen_backlog = 1024;
 constexpr std::size_t request_id_bytes = 128;
 // Connections over the limit that get a refusal; further ones are reset.
 constexpr std::size_t turned_away_connections = 256;
@@ -458,7 +461,7 @@
         {
             row.write_progress = steady_clock::now();
         }
-        row.socket->write(bytes.data(), static_cast<qint64>(bytes.size()));
+        write_at_once(*row.socket, bytes);
     }
 
     // The fields by which this connection, not the answer, is governed.
@@ -780,6 +783,8 @@
 absl::Status http_server::listen(QHostAddress const& address,
                                  std::uint16_t port)
 {
+    impl_->server_.setListenBacklogSize(listen_backlog);
+    impl_->server_.setMaxPendingConnections(listen_backlog);
     if (!impl_->server_.listen(address, port))
     {
         return absl::UnavailableError(
--- a/src/net/platform_test.cpp
+++ b/src/net/platform_test.cpp
@@ -348,7 +348,7 @@
     BOOST_REQUIRE(events.ok());
     BOOST_TEST(events->next == 8U);
     BOOST_REQUIRE(events->events.size() == 2U);
-    BOOST_TEST((events->events[1].kind == cache_event_kind::evicted));
+    BOOST_TEST((events->events[1].kind == engine_cache_event_kind::evicted));
     BOOST_TEST(events->events[1].block == "y");
 }
 
