--- a/src/app/process_test.cpp
+++ b/src/app/process_test.cpp
@@ -137,6 +137,76 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_SUITE(the_commands_for_running_vms, fleet)
+
+namespace
+{
+
+// Every VM's admin port as options of a command.
+QStringList with_admins(QStringList arguments, fleet& of)
+{
+    for (program* vm : of.vms)
+    {
+        arguments +=
+            {"--admin", QString::fromStdString(vm->address("admin_port"))};
+    }
+    return arguments;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(show_the_state_of_each)
+{
+    program& run =
+        start("amarantharch", with_admins({"status", "--json"}, *this));
+    BOOST_TEST(run.exit_status() == 0, run.output());
+    for (char const* vm : {"entry-0", "entry-1", "entry-2"})
+    {
+        BOOST_TEST(run.output().find(vm) != std::string::npos, run.output());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(show_the_way_of_one_request)
+{
+    call request = post("/listings", "hello");
+    request.headers.push_back({"X-Request-Id", "claim-77"});
+    BOOST_REQUIRE(fetch(addresses[1], request, patience).ok());
+    program& run =
+        start("amarantharch",
+              with_admins({"timeline", "--request", "claim-77"}, *this));
+    BOOST_TEST(run.exit_status() == 0, run.output());
+    std::string const shown = run.output();
+    std::size_t const received = shown.find("request_received");
+    std::size_t const answered = shown.find("request_answered");
+    BOOST_TEST(received != std::string::npos, shown);
+    BOOST_TEST(answered != std::string::npos, shown);
+    BOOST_TEST(received < answered, shown);
+}
+
+BOOST_AUTO_TEST_CASE(make_a_trace_of_all)
+{
+    BOOST_REQUIRE(serves(0));
+    program& run = start("amarantharch",
+                         with_admins({"timeline", "--format", "trace"}, *this));
+    BOOST_TEST(run.exit_status() == 0);
+    auto const trace =
+        QJsonDocument::fromJson(QByteArray::fromStdString(run.output()));
+    BOOST_TEST(trace.object().value("traceEvents").isArray(), run.output());
+}
+
+BOOST_AUTO_TEST_CASE(drain_and_see_the_vms_gone)
+{
+    program& run = start("amarantharch",
+                         with_admins({"drain", "--wait-ms", "15000"}, *this));
+    BOOST_TEST(run.exit_status() == 0, run.output());
+    for (program* vm : vms)
+    {
+        BOOST_TEST(vm->exit_status() == 0);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(the_command_line, process_fixture)
 
 namespace
