--- a/src/app/server.cpp
+++ b/src/app/server.cpp
@@ -201,7 +201,7 @@
         tell(peer_message_received{std::move(message)});
     };
     handlers.dropped =
-        [this](std::string const& vm, peer_message_kind kind, std::size_t count)
+        [](std::string const& vm, peer_message_kind kind, std::size_t count)
     {
         log(log_level::warning, "peer_messages_dropped",
             {{"peer", vm},
