--- a/src/core/version_move_test.cpp
+++ b/src/core/version_move_test.cpp
@@ -285,6 +285,19 @@
     BOOST_TEST((reader.report(start).state == move_state::taken_back));
 }
 
+// A late, older message does not undo what a newer one of its VM has told.
+BOOST_AUTO_TEST_CASE(is_found_though_messages_come_out_of_order)
+{
+    version_move entry = fresh_move();
+    move_evidence const older = entry.evidence("vm1", 1);
+    feed_failures(entry, 20);
+    move_evidence const newer = entry.evidence("vm1", 1);
+    version_move reader = fresh_move();
+    reader.merge(newer);
+    reader.merge(older);
+    BOOST_TEST(reader.tick(start + seconds(5), false).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(a_good_version)
