--- a/src/core/configuration_store_test.cpp
+++ b/src/core/configuration_store_test.cpp
@@ -1,8 +1,10 @@
 #include "core/configuration_store.hpp"
 
 #include <boost/test/unit_test.hpp>
+#include <fmt/format.h>
 
 #include <algorithm>
+#include <functional>
 #include <numeric>
 #include <random>
 #include <string>
@@ -13,15 +15,24 @@
 namespace
 {
 
-bool verify(std::string_view author, std::string_view, std::string_view sig)
+// Stands for a signature: depends on the author's key and on every byte.
+std::string sign(std::string_view author, std::string_view bytes)
 {
-    return sig == std::string(author) + "-key";
+    return fmt::format("{}-key-{}", author,
+                       std::hash<std::string_view>()(bytes));
+}
+
+bool verify(std::string_view author, std::string_view bytes,
+            std::string_view signature)
+{
+    return signature == sign(author, bytes);
 }
 
 // The configuration stream: one payload an offset.
 struct stream
 {
     std::vector<std::string> payloads;
+    std::vector<time_point> times;
     log_offset first_retained = 1;
 
     log_offset end() const
@@ -29,9 +40,11 @@
         return payloads.size() + 1;
     }
 
-    log_offset append(std::string payload)
+    log_offset append(std::string payload,
+                      time_point time = from_micros(1'000'000))
     {
         payloads.push_back(std::move(payload));
+        times.push_back(time);
         return payloads.size();
     }
 
@@ -47,6 +60,7 @@
             log_record record;
             record.position = {offset, 0};
             record.payload = payloads[offset - 1];
+            record.time = times[offset - 1];
             batch.records.push_back(std::move(record));
         }
         batch.next = offset;
@@ -60,9 +74,9 @@
     configuration_change change;
     change.publish_id = author + "@" + std::to_string(base.offset);
     change.base = base;
-    change.signature = author + "-key";
     change.author = std::move(author);
     change.text = std::move(text);
+    change.signature = sign(change.author, signed_bytes(change));
     return change;
 }
 
@@ -213,13 +227,17 @@
     auto forged = change_by("a", {}, weight("x", 2));
     forged.signature = "guess";
     log.append(encode(forged));
+    auto altered = change_by("a", {}, weight("x", 2));
+    altered.text = weight("x", 900);
+    log.append(encode(altered));
     log.append(encode(change_by("a", {}, "[organisation x]\nweight = -1\n")));
     log.append("no record at all");
     auto const decisions = reader.read(log);
-    BOOST_REQUIRE_EQUAL(decisions.size(), 2U);
+    BOOST_REQUIRE_EQUAL(decisions.size(), 3U);
     BOOST_CHECK(decisions[0].fate == change_fate::not_signed);
-    BOOST_CHECK(decisions[1].fate == change_fate::invalid);
-    BOOST_CHECK(decisions[1].reason.find("line 2, column 10") !=
+    BOOST_CHECK(decisions[1].fate == change_fate::not_signed);
+    BOOST_CHECK(decisions[2].fate == change_fate::invalid);
+    BOOST_CHECK(decisions[2].reason.find("line 2, column 10") !=
                 std::string::npos);
     BOOST_CHECK(reader.store.in_force() == revision{});
 }
@@ -342,7 +360,11 @@
 BOOST_AUTO_TEST_CASE(is_written_again_before_its_record_expires)
 {
     stream log;
-    log.append(encode(change_by("a", {}, weight("x", 2))));
+    auto change = change_by("a", {}, weight("x", 2));
+    // The operator's clock is years ahead: only the log's counts.
+    change.written = from_micros(0) + std::chrono::hours(100'000);
+    change.signature = sign("a", signed_bytes(change));
+    log.append(encode(change));
     duration const retention = std::chrono::hours(10);
     std::vector<vm> vms;
     for (int i = 0; i < 30; ++i)
@@ -351,7 +373,6 @@
         vms.back().read(log);
     }
     // Four retentions, minute by minute; a record expires after one.
-    std::vector<time_point> stored{vms[0].now};
     for (int minute = 0; minute < 40 * 60; ++minute)
     {
         for (auto& one : vms)
@@ -360,11 +381,10 @@
             one.read(log);
             if (auto payload = one.store.tick(one.now))
             {
-                log.append(*payload);
-                stored.push_back(one.now);
+                log.append(*payload, one.now);
             }
         }
-        while (vms[0].now - stored[log.first_retained - 1] > retention)
+        while (vms[0].now - log.times[log.first_retained - 1] > retention)
         {
             ++log.first_retained;
             BOOST_REQUIRE_LT(log.first_retained, log.end());
--- a/src/core/ledger_test.cpp
+++ b/src/core/ledger_test.cpp
@@ -321,6 +321,33 @@
     BOOST_TEST(c.effects.empty());
 }
 
+BOOST_FIXTURE_TEST_CASE(takes_a_release_of_what_it_does_not_know_for_no_right,
+                        two_vms)
+{
+    // z gives back a right that it never had; another VM obtained the key in
+    // the part of the log that c never reads, and is asked again and again.
+    log.append(at(1), encode(clock_record{}));
+    log.first_retained = log.end();
+    release_record release;
+    release.header.key = key;
+    release.header.run = {"z", 1, 1};
+    release.header.basis.time_us = to_micros(at(1));
+    log.append(at(2), encode(release));
+    vm c{log, "c"};
+    for (int second = 3; second < 1200; second += 300)
+    {
+        intent_record intent;
+        intent.header.key = key;
+        intent.header.run = {"z", 1, 2};
+        intent.header.basis.time_us = to_micros(at(second));
+        log.append(at(second), encode(intent));
+        c.settle(at(second));
+    }
+    BOOST_TEST(c.core.ready());
+    c.submit(at(1200), "r2", key, false, 0);
+    BOOST_TEST(c.reason() == ledger_reasons::in_progress);
+}
+
 BOOST_AUTO_TEST_CASE(takes_no_damage_from_malformed_snapshots)
 {
     two_vms session;
@@ -364,6 +391,15 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(does_not_allocate_what_a_few_bytes_claim)
+{
+    // An array of 2^32 - 1 elements, of which none follows.
+    std::string const array("\xdd\xff\xff\xff\xff", 5);
+    BOOST_TEST(!decode_ledger_record(array).ok());
+    ledger_table table(window, 0);
+    BOOST_TEST(!table.restore(array).ok());
+}
+
 BOOST_FIXTURE_TEST_CASE(keeps_a_key_that_is_asked_for_again_and_again, two_vms)
 {
     // Losing records of a key keep it alive, for all readers alike.
--- a/src/core/request_path.cpp
+++ b/src/core/request_path.cpp
@@ -17,11 +17,17 @@
 
 constexpr duration no_upstream_retry_after = std::chrono::seconds(1);
 constexpr duration overload_retry_after = std::chrono::seconds(1);
+constexpr duration accepted_retry_after = std::chrono::seconds(1);
 constexpr duration failure_retry_after = std::chrono::seconds(1);
 // Time that an answer needs on its way back to the caller.
 constexpr duration way_back = std::chrono::milliseconds(5);
 // A request that may not end before the VM stops is not taken any more.
 constexpr duration stop_margin = std::chrono::milliseconds(500);
+// How often a request looks again for an upstream that it may run on.
+constexpr duration upstream_wait = std::chrono::milliseconds(20);
+// Crashes of one upstream seen within this time are one crash; it names the
+// crash alike at all VMs, since an upstream does not tell its incarnation.
+constexpr duration crash_resolution = std::chrono::milliseconds(500);
 constexpr std::uint32_t default_output_tokens = 128;
 constexpr std::uint8_t least_interactive_priority = 6;
 constexpr std::uint8_t least_standard_priority = 3;
@@ -181,9 +187,12 @@
                            record_appender append)
     : options_(std::move(options)), emit_(std::move(emit)),
       append_(std::move(append)), site_(std::make_shared<site>()),
-      router_(options_.routing), retries_(options_.retries), outliers_(options_.outliers),
-      ledger_(ledger_options_of(options_),
-              [this](ledger_effect const& effect) { take(present_, effect); })
+      router_(options_.routing), retries_(options_.retries),
+      outliers_(options_.outliers), quarantine_(options_.quarantined),
+      crashes_(options_.crash_window),
+      ledger_(
+          ledger_options_of(options_), [this](ledger_effect const& effect)
+          { std::visit([this](auto const& e) { take(present_, e); }, effect); })
 {
 }
 
@@ -292,6 +301,8 @@
     r.route = *route;
     r.priority = class_of(route->priority);
     r.deadline = now + route->timeout;
+    r.print = fingerprint_of(route->service, request.method, request.target,
+                             request.body);
     held_bytes_ += request.body.size();
     if (route->kind == upstream_kind::engine && wants_stream(request.body))
     {
@@ -375,52 +386,70 @@
     ledger_.submit(now, std::move(what));
 }
 
-void request_path::take(time_point now, ledger_effect const& effect)
+void request_path::take(time_point, append_record const& effect)
 {
-    if (auto const* append = std::get_if<append_record>(&effect))
-    {
-        append_(append->payload);
-        return;
-    }
-    if (auto const* run = std::get_if<run_request>(&effect))
-    {
-        auto const found = rows_.find(run->request);
-        if (found == rows_.end())
-        {
-            run_detached(now, *run);
-            return;
-        }
-        found->second.right = run->run;
-        dispatch(now, found->second);
-        return;
-    }
-    if (auto const* accepted = std::get_if<accepted_reply>(&effect))
-    {
-        accept(now, accepted->request);
-        return;
-    }
-    if (auto const* known = std::get_if<known_reply>(&effect))
+    append_(effect.payload);
+}
+
+void request_path::take(time_point now, run_request const& effect)
+{
+    auto const found = rows_.find(effect.request);
+    if (found == rows_.end())
     {
-        repeat(now, known->request, known->outcome);
+        run_detached(now, effect);
         return;
     }
-    auto const& refused = std::get<refused_reply>(effect);
-    auto const found = rows_.find(refused.request);
+    found->second.right = effect.run;
+    dispatch(now, found->second);
+}
+
+void request_path::take(time_point now, accepted_reply const& effect)
+{
+    accept(now, effect.request);
+}
+
+void request_path::take(time_point now, known_reply const& effect)
+{
+    repeat(now, effect.request, effect.outcome);
+}
+
+void request_path::take(time_point now, refused_reply const& effect)
+{
+    end_refused(now, effect.request, effect.why);
+}
+
+void request_path::take(time_point, hand_over const& effect)
+{
+    handed_over_ = effect.records; // each one names all that is unsettled
+}
+
+// Passes on the ledger's refusal of a request or of a question about one.
+void request_path::end_refused(time_point now, request_id const& id,
+                               refusal const& why)
+{
+    auto const found = rows_.find(id);
     if (found == rows_.end())
     {
-        emit_(answer_refusal{refused.request, refused.why});
+        emit_(answer_refusal{id, why});
         return;
     }
-    found->second.run = combine(found->second.run, refused.why.run);
-    refuse(now, found->second, refused.why.status, refused.why.reason,
-           refused.why.retry_after);
+    found->second.run = combine(found->second.run, why.run);
+    refuse(now, found->second, why.status, why.reason, why.retry_after);
 }
 
 // Answers that an asynchronous request is kept and where to ask for its
 // outcome.
 void request_path::accept(time_point now, request_id const& id)
 {
-    row& r = rows_.at(id);
+    auto const found = rows_.find(id);
+    if (found == rows_.end()) // a question: it is kept and not started yet
+    {
+        emit_(answer_refusal{
+            id,
+            {202, verdict::may_have_run, "accepted", accepted_retry_after}});
+        return;
+    }
+    row& r = found->second;
     std::string const key(header_value(r.request.headers, "Idempotency-Key"));
     emit_(answer_head{id,
                       202,
@@ -435,6 +464,15 @@
 void request_path::repeat(time_point now, request_id const& id,
                           kept_outcome const& outcome)
 {
+    if (outcome.run != verdict::ran || !outcome.answer_kept)
+    {
+        bool const ran = outcome.run == verdict::ran;
+        end_refused(now, id,
+                    {409, outcome.run,
+                     ran ? "answer_not_kept" : ledger_reasons::outcome_unknown,
+                     duration::zero()});
+        return;
+    }
     header_list headers{{"X-Verdict", std::string(name(outcome.run))},
                         {"X-Repeated", "yes"}};
     if (!outcome.content_type.empty())
@@ -466,6 +504,8 @@
     }
     row& r = rows_[request.id];
     held_bytes_ += request.body.size();
+    r.print = fingerprint_of(route->service, request.method, request.target,
+                             request.body);
     r.request = std::move(request);
     r.organisation = what.call.organisation;
     r.route = *route;
@@ -512,10 +552,65 @@
     return request;
 }
 
+// Refuses a request that has crashed upstreams, or that may have until all
+// VMs' marks are in. True if the row is gone.
+bool request_path::held_back(time_point now, row& r)
+{
+    quarantine_decision const decision = quarantine_.decide(now, r.print);
+    r.alone = decision == quarantine_decision::run_alone;
+    if (decision == quarantine_decision::refuse)
+    {
+        refuse(now, r, 422, "quarantined", duration::zero());
+        return true;
+    }
+    if (decision == quarantine_decision::hold)
+    {
+        refuse(now, r, 503, "crash_suspected",
+               options_.quarantined.settle_time);
+        return true;
+    }
+    return false;
+}
+
+// Upstreams that the request has failed at, those reserved for others and,
+// if it must run alone, those that are in use.
+std::vector<upstream_index> request_path::exclusions_for(row const& r) const
+{
+    std::vector<upstream_index> excluded = r.tried;
+    for (auto const& [upstream, request] : reserved_)
+    {
+        excluded.push_back(upstream);
+    }
+    for (upstream_index i = 0; r.alone && i < upstreams_.size(); ++i)
+    {
+        if (upstreams_.row(i).in_flight > 0)
+        {
+            excluded.push_back(i);
+        }
+    }
+    return excluded;
+}
+
+void request_path::wait_for_upstream(time_point now, row& r)
+{
+    r.at = stage::waiting;
+    r.attempt_due = now + upstream_wait;
+}
+
 void request_path::dispatch(time_point now, row& r)
 {
+    if (held_back(now, r))
+    {
+        return;
+    }
     request_features const features = features_of(r);
-    auto const picked = router_.choose(now, features, upstreams_, r.tried);
+    auto const picked =
+        router_.choose(now, features, upstreams_, exclusions_for(r));
+    if (!picked && (r.alone || !reserved_.empty()))
+    {
+        wait_for_upstream(now, r);
+        return;
+    }
     if (!picked)
     {
         refuse(now, r, 503, "no_upstream", no_upstream_retry_after);
@@ -528,6 +623,10 @@
     r.first_seen = false;
     ++r.attempts;
     attempts_[r.attempt] = r.request.id;
+    if (r.alone)
+    {
+        reserved_[r.upstream] = r.request.id;
+    }
     if (r.relay)
     {
         r.relay->begin(r.attempt);
@@ -548,6 +647,11 @@
 
 void request_path::end_attempt(time_point now, row& r)
 {
+    crashes_.ended(r.upstream, r.attempt);
+    if (r.alone)
+    {
+        reserved_.erase(r.upstream);
+    }
     router_.on_end(now, r.attempt, upstreams_);
     attempts_.erase(r.attempt);
     r.attempt = 0;
@@ -671,6 +775,10 @@
     }
     outliers_.on_result(now, r->upstream, true, upstreams_);
     end_attempt(now, *r);
+    if (r->alone)
+    {
+        quarantine_.ended_well_alone(now, r->print);
+    }
     retries_.on_success(r->route.service);
     finish(now, *r);
 }
@@ -691,6 +799,7 @@
     note("attempt_failed", r.request.id,
          fmt::format("attempt={} run={} reason={}", r.attempt, name(run),
                      reason));
+    note_lost(now, r, reason);
     outliers_.on_result(now, r.upstream, false, upstreams_);
     r.tried.push_back(r.upstream);
     if (r.relay)
@@ -699,13 +808,46 @@
     }
     end_attempt(now, r);
     r.run = combine(r.run, run);
-    if (try_again(now, r))
+    if (held_back(now, r) || try_again(now, r))
     {
         return;
     }
     refuse(now, r, 502, reason, failure_retry_after);
 }
 
+// Looks for a crash of the upstream behind a lost connection.
+void request_path::note_lost(time_point now, row const& r,
+                             std::string const& reason)
+{
+    bool const lost = reason == "connection_lost" || reason == "answer_cut";
+    upstream_row const& upstream = upstreams_.row(r.upstream);
+    if (!lost || upstream.leaving || !upstream.present)
+    {
+        return;
+    }
+    attempts_in_flight present;
+    for (auto const& [attempt, request] : attempts_)
+    {
+        row const& other = rows_.at(request);
+        if (other.upstream == r.upstream)
+        {
+            present[attempt] = other.print;
+        }
+    }
+    auto const carried =
+        crashes_.lost(now, r.upstream, r.attempt, std::move(present));
+    if (carried)
+    {
+        auto const instant = static_cast<std::uint64_t>(now.time_since_epoch() /
+                                                        crash_resolution);
+        quarantine_.crashed(now, {upstream.profile.name, instant}, *carried,
+                            r.alone);
+        note("upstream_crashed", r.request.id,
+             fmt::format("upstream={} in_flight={}", upstream.profile.name,
+                         carried->size()));
+    }
+}
+
 bool request_path::try_again(time_point now, row& r)
 {
     retry_question question;
@@ -747,9 +889,9 @@
 void request_path::refuse(time_point now, row& r, int status,
                           std::string reason, duration retry_after)
 {
-    if (r.run == verdict::may_have_run && !r.route.idempotent)
+    if (r.run == verdict::may_have_run && !r.route.idempotent && r.attempts > 0)
     {
-        retry_after = duration::zero(); // it must not be sent again
+        retry_after = duration::zero(); // a repeat would learn no more
     }
     note("request_refused", r.request.id,
          fmt::format("verdict={} reason={}", name(r.run), reason));
@@ -886,6 +1028,40 @@
     }
 }
 
+std::vector<service_usage> request_path::usage(std::string const& vm,
+                                               std::uint64_t incarnation)
+{
+    std::vector<service_usage> all;
+    for (auto& [service, gate] : admissions_)
+    {
+        all.push_back({service, gate.usage(vm, incarnation)});
+    }
+    return all;
+}
+
+void request_path::merge_usage(time_point now, std::string const& service,
+                               usage_summary const& peer)
+{
+    auto const gate = admissions_.find(service);
+    if (gate != admissions_.end()) // else nothing of it is admitted here
+    {
+        gate->second.merge(now, peer);
+    }
+}
+
+void request_path::adopt(time_point now,
+                         std::vector<std::string> const& records)
+{
+    present_ = now;
+    if (records.empty())
+    {
+        return;
+    }
+    absl::Status const taken = ledger_.adopt(now, records);
+    note("records_adopted", "",
+         fmt::format("count={} taken={}", records.size(), taken.ok()));
+}
+
 void request_path::apply(time_point now, log_batch const& batch)
 {
     present_ = now;
@@ -908,6 +1084,7 @@
 {
     present_ = now;
     ledger_.tick(now);
+    quarantine_.tick(now);
     bool const last_moment = stop_by_ && now >= *stop_by_ - stop_margin;
     std::vector<request_id> expired;
     std::vector<request_id> due;
--- a/src/core/request_path.hpp
+++ b/src/core/request_path.hpp
@@ -22,9 +22,12 @@
 
 #include "core/admission.hpp"
 #include "core/command.hpp"
+#include "core/crash_detector.hpp"
 #include "core/event.hpp"
 #include "core/ledger.hpp"
 #include "core/outlier.hpp"
+#include "core/peer_update.hpp"
+#include "core/quarantine.hpp"
 #include "core/retry_budget.hpp"
 #include "core/routing.hpp"
 #include "core/site.hpp"
@@ -37,6 +40,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace amarantharch
@@ -53,6 +57,9 @@
     routing_options routing;
     retry_budget_options retries;
     outlier_options outliers;
+    quarantine_options quarantined;
+    // Connections lost within this time are lost together.
+    duration crash_window = std::chrono::milliseconds(200);
     // Bytes of a stream's last tokens kept while it is relayed.
     std::size_t stream_history_bytes = std::size_t{16} << 10;
     ledger_options requests_ledger; // vm and incarnation are filled in
@@ -95,6 +102,25 @@
     void set_log_reachable(time_point now, bool reachable);
     void vm_gone(time_point now, std::string const& vm);
 
+    // What this VM has served of each service, for its peers.
+    std::vector<service_usage> usage(std::string const& vm,
+                                     std::uint64_t incarnation);
+    // What a peer has served.
+    void merge_usage(time_point now, std::string const& service,
+                     usage_summary const& peer);
+
+    // Records that this VM may not see stored before it leaves; empties them.
+    std::vector<std::string> take_handed_over()
+    {
+        return std::exchange(handed_over_, {});
+    }
+    // Records that a leaving peer hands over.
+    void adopt(time_point now, std::vector<std::string> const& records);
+
+    quarantine& crashes()
+    {
+        return quarantine_;
+    }
     ledger& requests_ledger()
     {
         return ledger_;
@@ -163,6 +189,8 @@
         std::uint64_t answer_bytes = 0;
         run_outcome outcome;               // collected for the ledger
         std::optional<stream_relay> relay; // if tokens are streamed
+        fingerprint print = 0;
+        bool alone = false; // its upstream is reserved for it
     };
 
     // Arrival.
@@ -173,14 +201,24 @@
     void admit(time_point now, row& r);
     void admitted(time_point now, request_id const& id);
     void submit(time_point now, row& r, bool asynchronous);
-    void take(time_point now, ledger_effect const& effect);
+    void take(time_point now, append_record const& effect);
+    void take(time_point now, run_request const& effect);
+    void take(time_point now, accepted_reply const& effect);
+    void take(time_point now, known_reply const& effect);
+    void take(time_point now, refused_reply const& effect);
+    void take(time_point now, hand_over const& effect);
     void accept(time_point now, request_id const& id);
     void repeat(time_point now, request_id const& id,
                 kept_outcome const& outcome);
+    void end_refused(time_point now, request_id const& id, refusal const& why);
     void run_detached(time_point now, run_request const& what);
 
     // Attempts.
     void dispatch(time_point now, row& r);
+    bool held_back(time_point now, row& r);
+    std::vector<upstream_index> exclusions_for(row const& r) const;
+    void wait_for_upstream(time_point now, row& r);
+    void note_lost(time_point now, row const& r, std::string const& reason);
     call outgoing(time_point now, row const& r) const;
     request_features features_of(row const& r) const;
     row* row_of(attempt_id attempt);
@@ -210,6 +248,10 @@
     router router_;
     retry_budget retries_;
     outlier_detector outliers_;
+    quarantine quarantine_;
+    crash_detector crashes_;
+    // Upstreams that run one suspect alone: none else is sent there.
+    std::map<upstream_index, request_id> reserved_;
     time_point present_; // of the event in hand, for the ledger's effects
     ledger ledger_;
     attempt_id next_attempt_ = 1;
@@ -219,6 +261,7 @@
     // attempts_[a] == r if and only if rows_[r].attempt == a != 0.
     std::map<attempt_id, request_id> attempts_;
     std::optional<time_point> stop_by_;
+    std::vector<std::string> handed_over_; // to be sent to peers
 };
 
 } // namespace amarantharch
