--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -73,15 +73,14 @@
 
 ask() { curl -sSN --max-time 20 -X POST --data "$3" "http://127.0.0.1:$1$2"; }
 draft='{"prompt":"a lunch plan for class 4b","max_tokens":50,"stream":true}'
-# A stream without its first event, which tells what the engine had cached.
-tokens() { ask "$1" /v1/completions "$draft" | tail -n +3; }
-
-expected=$(tokens "$drafts")
+# The engine's stream without its first event, which tells what it had cached
+# and is not passed on to callers.
+expected=$(ask "$drafts" /v1/completions "$draft" | tail -n +3)
 for domain in asan patan bhaktapur; do
     answer=$(ask "${ports[$domain]}" /listings "hello from $domain")
     grep -q "\"echo\":\"hello from $domain\"" <<< "$answer" ||
         fail "$domain answered $answer"
-    [ "$(tokens "${ports[$domain]}")" = "$expected" ] ||
+    [ "$(ask "${ports[$domain]}" /v1/completions "$draft")" = "$expected" ] ||
         fail "$domain did not pass the engine's stream on whole"
     echo "demo: $domain answered a lookup and passed on a draft of 50 tokens"
 done
@@ -89,7 +88,7 @@
 kill -KILL "${pids[asan]}"
 wait "${pids[asan]}" 2> /dev/null || true
 for domain in patan bhaktapur; do
-    [ "$(tokens "${ports[$domain]}")" = "$expected" ] ||
+    [ "$(ask "${ports[$domain]}" /v1/completions "$draft")" = "$expected" ] ||
         fail "$domain does not serve after asan was killed"
 done
 echo "demo: asan killed; patan and bhaktapur go on serving"
--- a/src/core/control_plane.cpp
+++ b/src/core/control_plane.cpp
@@ -58,6 +58,7 @@
     {
         log_.subscribe(log_stream::configuration, 1);
         log_.subscribe(log_stream::requests, 1);
+        log_.subscribe(log_stream::control, 1);
     }
 }
 
@@ -108,8 +109,9 @@
         handlers_.requests_read(now, batch);
         return;
     }
-    if (batch.stream != log_stream::configuration)
+    if (batch.stream == log_stream::control)
     {
+        handlers_.control_read(now, batch);
         return;
     }
     for (change_decision const& decision : store_.apply(now, batch))
--- a/src/core/control_plane.hpp
+++ b/src/core/control_plane.hpp
@@ -46,6 +46,7 @@
 struct control_plane_handlers
 {
     std::function<void(time_point, log_batch const&)> requests_read;
+    std::function<void(time_point, log_batch const&)> control_read;
     std::function<void(time_point, bool)> log_reachable;
     std::function<void(time_point, configuration const&)> configured;
     std::function<void(time_point, member_change const&)> member_changed;
--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -26,13 +26,18 @@
     {
         requests_.apply(now, batch);
     };
+    handlers.control_read = [this](time_point now, log_batch const& batch)
+    {
+        requests_.moves().apply(now, batch);
+    };
     handlers.log_reachable = [this](time_point now, bool reachable)
     {
         requests_.set_log_reachable(now, reachable);
     };
-    handlers.configured = [this](time_point, configuration const& tables)
+    handlers.configured = [this](time_point now, configuration const& tables)
     {
         requests_.set_site(std::make_shared<site>(site_of(tables)));
+        requests_.moves().configure(now, tables);
     };
     handlers.member_changed = [this](time_point now, member_change const& what)
     {
@@ -62,6 +67,13 @@
     control_.tick(now);
     requests_.tick(now);
     exchange_.tick(now, control_.members(), requests_);
+    bool const is_mover = control_.members().is_among("mover", 1);
+    for (std::string& record : requests_.moves().tick(now, is_mover))
+    {
+        // A record that does not fit the queue is given again.
+        control_.append(now, log_stream::control, std::move(record))
+            .IgnoreError();
+    }
 }
 
 void node::on(time_point now, log_result const& what)
--- a/src/core/peer_exchange.cpp
+++ b/src/core/peer_exchange.cpp
@@ -32,6 +32,10 @@
     }
     requests.crashes().merge(now, update->quarantined);
     requests.adopt(now, update->handed_over);
+    for (move_evidence const& row : update->evidence)
+    {
+        requests.moves().merge(now, row);
+    }
     for (std::string const& upstream : update->leaving)
     {
         upstream_leaving(upstream, requests);
@@ -76,7 +80,9 @@
         usage_due_ = now + options_.usage_interval;
         peer_update usage;
         usage.usage = requests.usage(options_.vm, options_.incarnation);
-        if (!usage.usage.empty())
+        usage.evidence =
+            requests.moves().evidence(options_.vm, options_.incarnation);
+        if (!usage.usage.empty() || !usage.evidence.empty())
         {
             send(next_peers(members, options_.usage_fanout), usage);
         }
--- a/src/core/peer_update.hpp
+++ b/src/core/peer_update.hpp
@@ -7,6 +7,7 @@
 
 #include "core/admission.hpp"
 #include "core/quarantine.hpp"
+#include "core/version_move.hpp"
 
 #include <absl/status/statusor.h>
 #include <msgpack.hpp>
@@ -33,7 +34,8 @@
     quarantine_delta quarantined;
     std::vector<std::string> leaving;     // names of upstreams
     std::vector<std::string> handed_over; // ledger records to be appended
-    MSGPACK_DEFINE(usage, quarantined, leaving, handed_over)
+    std::vector<move_evidence> evidence;  // of version moves
+    MSGPACK_DEFINE(usage, quarantined, leaving, handed_over, evidence)
 };
 
 std::string encode(peer_update const& update);
--- a/src/core/request_path.cpp
+++ b/src/core/request_path.cpp
@@ -597,15 +597,58 @@
     r.attempt_due = now + upstream_wait;
 }
 
+// The upstream for the next attempt, of the version that the request is
+// assigned to, or else of the old one.
+std::optional<choice> request_path::pick(time_point now, row& r,
+                                         request_features& features)
+{
+    std::vector<upstream_index> const excluded = exclusions_for(r);
+    if (r.attempts == 0)
+    {
+        r.version = moves_.choose(now, r.route.service, r.request.id);
+    }
+    features.version = r.version.version;
+    auto picked = router_.choose(now, features, upstreams_, excluded);
+    if (!picked && !r.version.other.empty())
+    {
+        features.version = r.version.other;
+        picked = router_.choose(now, features, upstreams_, excluded);
+        r.version.move.clear(); // it tells nothing of the new version
+    }
+    if (picked && r.attempts == 0)
+    {
+        upstream_row const& upstream = upstreams_.row(picked->upstream);
+        double const load = upstream.profile.slots == 0
+                                ? 0
+                                : static_cast<double>(upstream.in_flight) /
+                                      upstream.profile.slots;
+        r.version.band =
+            load >= high_band_load ? load_band::high : load_band::low;
+    }
+    return picked;
+}
+
+// Evidence for a version move: the outcome of a request's first attempt.
+void request_path::note_version(time_point now, row& r, bool answered)
+{
+    if (r.version.move.empty() || r.attempts != 1)
+    {
+        return;
+    }
+    answered
+        ? moves_.answered(now, r.route.name, r.version, now - r.attempt_started)
+        : moves_.failed(r.route.name, r.version);
+    r.version.move.clear();
+}
+
 void request_path::dispatch(time_point now, row& r)
 {
     if (held_back(now, r))
     {
         return;
     }
-    request_features const features = features_of(r);
-    auto const picked =
-        router_.choose(now, features, upstreams_, exclusions_for(r));
+    request_features features = features_of(r);
+    auto const picked = pick(now, r, features);
     if (!picked && (r.alone || !reserved_.empty()))
     {
         wait_for_upstream(now, r);
@@ -676,6 +719,7 @@
                "upstream_error");
         return;
     }
+    note_version(now, *r, !fault);
     r->first_seen = true;
     r->run = verdict::ran;
     retries_.on_first_byte(r->route.service, now - r->attempt_started);
@@ -799,6 +843,7 @@
     note("attempt_failed", r.request.id,
          fmt::format("attempt={} run={} reason={}", r.attempt, name(run),
                      reason));
+    note_version(now, r, false);
     note_lost(now, r, reason);
     outliers_.on_result(now, r.upstream, false, upstreams_);
     r.tried.push_back(r.upstream);
--- a/src/core/request_path.hpp
+++ b/src/core/request_path.hpp
@@ -25,6 +25,7 @@
 #include "core/crash_detector.hpp"
 #include "core/event.hpp"
 #include "core/ledger.hpp"
+#include "core/move_table.hpp"
 #include "core/outlier.hpp"
 #include "core/peer_update.hpp"
 #include "core/quarantine.hpp"
@@ -117,6 +118,14 @@
     // Records that a leaving peer hands over.
     void adopt(time_point now, std::vector<std::string> const& records);
 
+    move_table& moves()
+    {
+        return moves_;
+    }
+    move_table const& moves() const
+    {
+        return moves_;
+    }
     quarantine& crashes()
     {
         return quarantine_;
@@ -189,6 +198,7 @@
         std::uint64_t answer_bytes = 0;
         run_outcome outcome;               // collected for the ledger
         std::optional<stream_relay> relay; // if tokens are streamed
+        version_choice version;
         fingerprint print = 0;
         bool alone = false; // its upstream is reserved for it
     };
@@ -215,6 +225,9 @@
 
     // Attempts.
     void dispatch(time_point now, row& r);
+    std::optional<choice> pick(time_point now, row& r,
+                               request_features& features);
+    void note_version(time_point now, row& r, bool answered);
     bool held_back(time_point now, row& r);
     std::vector<upstream_index> exclusions_for(row const& r) const;
     void wait_for_upstream(time_point now, row& r);
@@ -248,6 +261,7 @@
     router router_;
     retry_budget retries_;
     outlier_detector outliers_;
+    move_table moves_;
     quarantine quarantine_;
     crash_detector crashes_;
     // Upstreams that run one suspect alone: none else is sent there.
