--- a/src/core/ledger.cpp
+++ b/src/core/ledger.cpp
@@ -262,7 +262,7 @@
         restart(now, batch.first_retained);
     }
     begun_ = true;
-    applied_at_ = now;
+    auto const time_before_us = table_.basis().time_us;
     auto const from = table_.next();
     for (auto const& record : batch.records)
     {
@@ -291,6 +291,10 @@
         settle_adopted(*value, effect);
     }
     table_.advance(batch.next);
+    if (table_.basis().time_us != time_before_us)
+    {
+        applied_at_ = now;
+    }
 }
 
 // Forgets what was decided before `origin`, which this VM has not read and
--- a/src/core/ledger_test.cpp
+++ b/src/core/ledger_test.cpp
@@ -348,6 +348,37 @@
     BOOST_TEST(c.reason() == ledger_reasons::in_progress);
 }
 
+BOOST_FIXTURE_TEST_CASE(still_finds_what_was_accepted_long_before, two_vms)
+{
+    acceptance_record acceptance;
+    acceptance.header.key = key;
+    acceptance.header.run = {"z", 1, 1};
+    acceptance.header.basis = {log.end() - 1, to_micros(at(1))};
+    acceptance.call = {"r1", "o", "s", "POST", "/claims", {}, "body"};
+    log.append(at(1), encode(acceptance));
+    ledger_options patient;
+    patient.takeover_delay = std::chrono::hours(24);
+    vm keeper{log, "keeper", patient};
+    for (int second = 1; second <= 1400; second += 50)
+    {
+        keeper.core.tick(at(second));
+        keeper.settle(at(second));
+    }
+    log.first_retained = 1;
+    while (log.records[log.first_retained - 1].time < at(150))
+    {
+        ++log.first_retained;
+    }
+    vm c{log, "c"};
+    c.settle(at(1401));
+    BOOST_TEST(c.core.ready());
+    BOOST_TEST(c.core.keys() == 1U);
+    BOOST_TEST(log.end() - log.first_retained > 1U);
+    c.core.tick(at(1420));
+    c.settle(at(1420));
+    BOOST_TEST(c.last<run_request>().call.body == "body");
+}
+
 BOOST_AUTO_TEST_CASE(takes_no_damage_from_malformed_snapshots)
 {
     two_vms session;
