Bound what untrusted msgpack bytes may allocate

Cause: five bytes that claim an array of 2^32 elements made the decoder allocate 64 GB; the sanitizer build aborted on survives_bytes_that_are_no_payload, the release build survived by lazy allocation only. Change: element counts are limited by the input's length.

--- a/src/core/configuration_store.cpp
+++ b/src/core/configuration_store.cpp
@@ -1,5 +1,7 @@
 #include "core/configuration_store.hpp"
 
+#include "core/msgpack_limit.hpp"
+
 #include <fmt/format.h>
 #include <msgpack.hpp>
 #include <xxhash.h>
@@ -81,7 +83,7 @@
     auto const kind = wire.kind;
     try
     {
-        auto const handle = msgpack::unpack(bytes.data(), bytes.size());
+        auto const handle = unpack_limited(bytes);
         handle.get().convert(wire);
     }
     catch (std::exception const& e)
--- a/src/core/log_client.cpp
+++ b/src/core/log_client.cpp
@@ -1,5 +1,7 @@
 #include "core/log_client.hpp"
 
+#include "core/msgpack_limit.hpp"
+
 #include <fmt/format.h>
 #include <msgpack.hpp>
 #include <xxhash.h>
@@ -51,7 +53,7 @@
 {
     try
     {
-        auto const handle = msgpack::unpack(bytes.data(), bytes.size());
+        auto const handle = unpack_limited(bytes);
         auto wire = handle.get().as<wire_payload>();
         if (wire.version < payload_version)
         {
--- a/src/core/membership_message.cpp
+++ b/src/core/membership_message.cpp
@@ -1,5 +1,7 @@
 #include "core/membership_message.hpp"
 
+#include "core/msgpack_limit.hpp"
+
 #include <msgpack.hpp>
 
 #include <algorithm>
@@ -109,7 +111,7 @@
     wire_message wire;
     try
     {
-        auto const handle = msgpack::unpack(bytes.data(), bytes.size());
+        auto const handle = unpack_limited(bytes);
         handle.get().convert(wire);
     }
     catch (std::exception const& e)
--- a/src/core/snapshot.cpp
+++ b/src/core/snapshot.cpp
@@ -1,5 +1,7 @@
 #include "core/snapshot.hpp"
 
+#include "core/msgpack_limit.hpp"
+
 #include <msgpack.hpp>
 #include <xxhash.h>
 
@@ -51,7 +53,7 @@
     Wire wire;
     try
     {
-        auto const handle = msgpack::unpack(bytes.data(), bytes.size());
+        auto const handle = unpack_limited(bytes);
         handle.get().convert(wire);
     }
     catch (std::exception const& e)
