--- a/src/core/configuration_store.cpp
+++ b/src/core/configuration_store.cpp
@@ -1,6 +1,6 @@
 #include "core/configuration_store.hpp"
 
-#include "core/msgpack_limit.hpp"
+#include "core/bounded_unpack.hpp"
 
 #include <fmt/format.h>
 #include <msgpack.hpp>
@@ -83,7 +83,7 @@
     auto const kind = wire.kind;
     try
     {
-        auto const handle = unpack_limited(bytes);
+        auto const handle = bounded_unpack(bytes);
         handle.get().convert(wire);
     }
     catch (std::exception const& e)
--- a/src/core/log_client.cpp
+++ b/src/core/log_client.cpp
@@ -1,6 +1,6 @@
 #include "core/log_client.hpp"
 
-#include "core/msgpack_limit.hpp"
+#include "core/bounded_unpack.hpp"
 
 #include <fmt/format.h>
 #include <msgpack.hpp>
@@ -53,7 +53,7 @@
 {
     try
     {
-        auto const handle = unpack_limited(bytes);
+        auto const handle = bounded_unpack(bytes);
         auto wire = handle.get().as<wire_payload>();
         if (wire.version < payload_version)
         {
--- a/src/core/membership_message.cpp
+++ b/src/core/membership_message.cpp
@@ -1,6 +1,6 @@
 #include "core/membership_message.hpp"
 
-#include "core/msgpack_limit.hpp"
+#include "core/bounded_unpack.hpp"
 
 #include <msgpack.hpp>
 
@@ -111,7 +111,7 @@
     wire_message wire;
     try
     {
-        auto const handle = unpack_limited(bytes);
+        auto const handle = bounded_unpack(bytes);
         handle.get().convert(wire);
     }
     catch (std::exception const& e)
--- a/src/core/move_table.cpp
+++ b/src/core/move_table.cpp
@@ -1,5 +1,7 @@
 #include "core/move_table.hpp"
 
+#include "core/bounded_unpack.hpp"
+
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -59,9 +61,7 @@
 {
     try
     {
-        return msgpack::unpack(payload.data(), payload.size())
-            .get()
-            .as<move_record>();
+        return bounded_unpack(payload).get().as<move_record>();
     }
     catch (std::exception const&)
     {
--- a/src/core/peer_update.cpp
+++ b/src/core/peer_update.cpp
@@ -1,5 +1,7 @@
 #include "core/peer_update.hpp"
 
+#include "core/bounded_unpack.hpp"
+
 namespace amarantharch
 {
 
@@ -14,9 +16,7 @@
 {
     try
     {
-        msgpack::object_handle const handle =
-            msgpack::unpack(bytes.data(), bytes.size());
-        return handle.get().as<peer_update>();
+        return bounded_unpack(bytes).get().as<peer_update>();
     }
     catch (std::exception const& error)
     {
--- a/src/core/request_path.cpp
+++ b/src/core/request_path.cpp
@@ -246,13 +246,19 @@
 
 // ---- Arrival. ----
 
-std::optional<refusal> request_path::refuse_early(call const& request,
-                                                  route_spec const* route) const
+std::optional<refusal>
+request_path::refuse_early(call const& request, std::string const& organisation,
+                           route_spec const* route) const
 {
     if (route == nullptr)
     {
         return refusal{404, verdict::not_run, "no_route", duration::zero()};
     }
+    if (!admits(*route, organisation))
+    {
+        return refusal{403, verdict::not_run, "organisation_not_admitted",
+                       duration::zero()};
+    }
     bool const keyless =
         wants_asynchronous(request) && !route->idempotent &&
         header_value(request.headers, "Idempotency-Key").empty();
@@ -290,7 +296,7 @@
         return;
     }
     route_spec const* const route = match_route(*site_, request.target);
-    if (auto const why = refuse_early(request, route))
+    if (auto const why = refuse_early(request, *organisation, route))
     {
         emit_(answer_refusal{request.id, *why});
         return;
--- a/src/core/request_path.hpp
+++ b/src/core/request_path.hpp
@@ -205,6 +205,7 @@
 
     // Arrival.
     std::optional<refusal> refuse_early(call const& request,
+                                        std::string const& organisation,
                                         route_spec const* route) const;
     void answer_inquiry(time_point now, call const& request,
                         std::string const& organisation);
--- a/src/core/site.cpp
+++ b/src/core/site.cpp
@@ -4,6 +4,8 @@
 
 #include <absl/strings/match.h>
 
+#include <algorithm>
+
 namespace amarantharch
 {
 
@@ -43,6 +45,11 @@
     result.idempotent = service.idempotent;
     result.timeout = route.timeout;
     result.priority = static_cast<std::uint8_t>(route.priority);
+    if (!tables.organisations.empty())
+    {
+        result.organisations =
+            select(tables, route.organisations).organisations;
+    }
     return result;
 }
 
@@ -92,6 +99,13 @@
     return {};
 }
 
+bool admits(route_spec const& route, std::string const& organisation)
+{
+    return !route.organisations ||
+           std::find(route.organisations->begin(), route.organisations->end(),
+                     organisation) != route.organisations->end();
+}
+
 std::optional<std::string>
 identify_organisation(site const& tables, std::string_view credential_digest)
 {
--- a/src/core/site.hpp
+++ b/src/core/site.hpp
@@ -45,6 +45,8 @@
     bool idempotent = true; // false: runs at most once
     duration timeout = default_route_timeout;
     std::uint8_t priority = default_route_priority; // 0 is served last
+    // Whose requests it takes; nothing: everybody's.
+    std::optional<std::vector<std::string>> organisations = std::nullopt;
 };
 
 struct organisation_spec
@@ -77,6 +79,9 @@
 // The route with the longest prefix of `target`, or null. Linear in routes.
 route_spec const* match_route(site const& tables, std::string_view target);
 
+// Whether `route` takes requests of `organisation`.
+bool admits(route_spec const& route, std::string const& organisation);
+
 // The organisation whose key has the digest `credential_digest`. Where no
 // organisation is configured every caller belongs to the unnamed one;
 // otherwise a request without a known credential belongs to none.
--- a/src/core/snapshot.cpp
+++ b/src/core/snapshot.cpp
@@ -1,6 +1,6 @@
 #include "core/snapshot.hpp"
 
-#include "core/msgpack_limit.hpp"
+#include "core/bounded_unpack.hpp"
 
 #include <msgpack.hpp>
 #include <xxhash.h>
@@ -53,7 +53,7 @@
     Wire wire;
     try
     {
-        auto const handle = unpack_limited(bytes);
+        auto const handle = bounded_unpack(bytes);
         handle.get().convert(wire);
     }
     catch (std::exception const& e)
