--- a/src/core/crash_detector.cpp
+++ b/src/core/crash_detector.cpp
@@ -7,7 +7,7 @@
 
 std::optional<std::set<fingerprint>>
 crash_detector::lost(time_point now, upstream_index upstream,
-                     attempt_id attempt, attempts_in_flight present)
+                     attempt_id attempt, attempts_in_flight const& present)
 {
     auto found = groups_.find(upstream);
     bool const fresh = found == groups_.end() ||
--- a/src/core/crash_detector.hpp
+++ b/src/core/crash_detector.hpp
@@ -31,10 +31,9 @@
     // `attempt`'s connection to `upstream` was lost; `present` are all that
     // were in flight there, `attempt` among them. Returns the fingerprints in
     // flight at the crash if this was the last of a group.
-    std::optional<std::set<fingerprint>> lost(time_point now,
-                                              upstream_index upstream,
-                                              attempt_id attempt,
-                                              attempts_in_flight present);
+    std::optional<std::set<fingerprint>>
+    lost(time_point now, upstream_index upstream, attempt_id attempt,
+         attempts_in_flight const& present);
 
     // `attempt` had an answer or was cancelled: the upstream lives, as far as
     // it goes, and its group is dropped.
--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -5,7 +5,7 @@
 namespace amarantharch
 {
 
-node::node(node_options options, command_sink emit)
+node::node(node_options options, command_sink const& emit)
     : options_(std::move(options)),
       control_(options_.control, emit, control_handlers()),
       requests_(options_.requests, emit,
--- a/src/core/node.hpp
+++ b/src/core/node.hpp
@@ -49,7 +49,7 @@
 class node
 {
 public:
-    node(node_options options, command_sink emit);
+    node(node_options options, command_sink const& emit);
 
     // Takes one event; emits the commands that follow from it.
     void handle(time_point now, event const& what);
--- a/src/core/request_path.cpp
+++ b/src/core/request_path.cpp
@@ -885,8 +885,7 @@
             present[attempt] = other.print;
         }
     }
-    auto const carried =
-        crashes_.lost(now, r.upstream, r.attempt, std::move(present));
+    auto const carried = crashes_.lost(now, r.upstream, r.attempt, present);
     if (carried)
     {
         auto const instant = static_cast<std::uint64_t>(now.time_since_epoch() /
