--- a/src/app/server.cpp
+++ b/src/app/server.cpp
@@ -190,6 +190,12 @@
     {
         return absl::OkStatus();
     }
+    if (options_.peer_port == 0)
+    {
+        return absl::InvalidArgumentError(
+            "[vm] peer_port: expected a port where [tls] is set, since peers "
+            "learn it from the platform's list");
+    }
     peer_transport_settings settings;
     settings.certificate_file = options_.tls.certificate;
     settings.key_file = options_.tls.key;
@@ -236,6 +242,7 @@
         return;
     }
     drain_until_ = present() + timeout;
+    listen_until_ = present() + listen_grace;
     log(log_level::info, "draining",
         {{"vm", options_.vm},
          {"timeout_ms", fmt::to_string(to_millis(timeout))},
@@ -251,7 +258,8 @@
     {
         return;
     }
-    bool const idle = callers_.connections() == 0 && node_.requests().idle();
+    bool const idle = present() >= listen_until_ &&
+                      callers_.connections() == 0 && node_.requests().idle();
     if (idle || present() >= *drain_until_)
     {
         std::exchange(done_, nullptr)();
--- a/src/app/server.hpp
+++ b/src/app/server.hpp
@@ -115,6 +115,7 @@
     QTimer platform_timer_;
     std::size_t next_polled_upstream_ = 0;
     std::optional<time_point> drain_until_; // set once draining
+    time_point listen_until_{};             // while draining
     std::uint64_t next_request_ = 1;
     // callers_waiting_[r].exchange == e if and only if requests_[e] == r.
     std::map<request_id, caller_row> callers_waiting_;
--- a/src/core/request_path.cpp
+++ b/src/core/request_path.cpp
@@ -221,6 +221,25 @@
     }
 }
 
+// The limit on requests in flight begins at, and never exceeds, what the
+// service's upstreams can run together.
+admission_options request_path::admission_for(std::string const& service) const
+{
+    admission_options options = options_.admission;
+    std::uint32_t slots = 0;
+    for (upstream_spec const& upstream : site_->upstreams)
+    {
+        slots += upstream.service == service ? upstream.capacity : 0;
+    }
+    if (slots > 0)
+    {
+        options.limit.initial = slots;
+        options.limit.ceiling = slots;
+        options.limit.floor = std::min(options.limit.floor, slots);
+    }
+    return options;
+}
+
 admission& request_path::admission_of(std::string const& service)
 {
     auto const found = admissions_.find(service);
@@ -229,7 +248,7 @@
         return found->second;
     }
     admission& gate =
-        admissions_.emplace(service, admission(options_.admission))
+        admissions_.emplace(service, admission(admission_for(service)))
             .first->second;
     for (organisation_spec const& organisation : site_->organisations)
     {
@@ -246,6 +265,11 @@
 
 // ---- Arrival. ----
 
+std::uint32_t request_path::expected_output(row const& r)
+{
+    return r.route.kind == upstream_kind::engine ? default_output_tokens : 1;
+}
+
 std::optional<refusal>
 request_path::refuse_early(call const& request, std::string const& organisation,
                            route_spec const* route) const
@@ -343,7 +367,8 @@
     asked.id = r.request.id;
     asked.organisation = r.organisation;
     asked.priority = r.priority;
-    asked.tokens = std::max<std::uint32_t>(1, tokens_in(r.request.body));
+    asked.tokens =
+        charged_tokens(tokens_in(r.request.body), expected_output(r));
     asked.bytes = r.request.body.size();
     asked.deadline = r.deadline;
     admission_result const result =
@@ -533,7 +558,7 @@
     {
         features.prefix = hash_prefix(r.request.body);
         features.prompt_tokens = tokens_in(r.request.body);
-        features.expected_output = default_output_tokens;
+        features.expected_output = expected_output(r);
     }
     return features;
 }
@@ -989,8 +1014,9 @@
 {
     if (r.admitted)
     {
-        auto const tokens = static_cast<std::uint32_t>(
-            tokens_in(r.request.body) + r.answer_bytes / bytes_per_token);
+        std::uint32_t const tokens = charged_tokens(
+            tokens_in(r.request.body),
+            static_cast<std::uint32_t>(r.answer_bytes / bytes_per_token));
         admission_of(r.route.service).on_end(now, r.request.id, tokens);
     }
     held_bytes_ -= r.request.body.size();
--- a/src/core/request_path.hpp
+++ b/src/core/request_path.hpp
@@ -250,7 +250,9 @@
     void remove(time_point now, row& r);
     void expire(time_point now, row& r, int status, std::string reason);
 
+    admission_options admission_for(std::string const& service) const;
     admission& admission_of(std::string const& service);
+    static std::uint32_t expected_output(row const& r);
     void note(std::string kind, request_id const& request, std::string details);
 
     request_path_options options_;
