--- /dev/null
+++ b/src/core/request_endings.cpp
@@ -0,0 +1,139 @@
+// The part of request_path that gives requests their final answer.
+#include "core/call_fields.hpp"
+#include "core/request_path.hpp"
+
+#include <fmt/format.h>
+
+#include <utility>
+
+namespace amarantharch
+{
+
+void request_path::finish(time_point now, row& r)
+{
+    if (r.caller_waits)
+    {
+        emit_(answer_end{r.request.id});
+    }
+    note("request_answered", r.request.id,
+         fmt::format("status={} bytes={}", r.outcome.status, r.answer_bytes));
+    leave_ledger(now, r);
+    remove(now, r);
+}
+
+void request_path::refuse(time_point now, row& r, int status,
+                          std::string reason, duration retry_after)
+{
+    if (r.run == verdict::may_have_run && !r.route.idempotent && r.attempts > 0)
+    {
+        retry_after = duration::zero(); // a repeat would learn no more
+    }
+    note("request_refused", r.request.id,
+         fmt::format("verdict={} reason={}", name(r.run), reason));
+    if (r.caller_waits)
+    {
+        emit_(answer_refusal{r.request.id,
+                             {status, r.run, std::move(reason), retry_after}});
+    }
+    // An answer that was cut short cannot be given to a repeat.
+    verdict const known =
+        r.run == verdict::not_run ? verdict::not_run : verdict::may_have_run;
+    r.outcome = run_outcome{known, 0, "", ""};
+    leave_ledger(now, r);
+    remove(now, r);
+}
+
+// Tells the caller of a stream that has begun where to go on, since its answer
+// can no longer be refused: it is cut after this event.
+void request_path::give_up_stream(row const& r, refusal const& why)
+{
+    if (!r.relay || !r.answer_begun)
+    {
+        return;
+    }
+    emit_(answer_piece{
+        r.request.id,
+        fmt::format("event: error\ndata: {{\"verdict\":\"{}\",\"reason\":"
+                    "\"{}\",\"retry_after_ms\":{},\"resume_from\":{}}}\n\n",
+                    name(why.run), why.reason, to_millis(why.retry_after),
+                    r.relay->next_offset())});
+}
+
+// Reports the run, if the ledger gave this row the right to one.
+void request_path::leave_ledger(time_point now, row& r)
+{
+    if (!r.right)
+    {
+        return;
+    }
+    run_id const right = *std::exchange(r.right, std::nullopt);
+    ledger_.finish(now, right, std::move(r.outcome));
+}
+
+void request_path::remove(time_point now, row& r)
+{
+    if (r.admitted)
+    {
+        std::uint32_t const tokens = charged_tokens(
+            tokens_in(r.request.body),
+            static_cast<std::uint32_t>(r.answer_bytes / bytes_per_token));
+        admission_of(r.route.service).on_end(now, r.request.id, tokens);
+    }
+    held_bytes_ -= r.request.body.size();
+    rows_.erase(request_id(r.request.id));
+}
+
+void request_path::handle(time_point now, call_abandoned const& what)
+{
+    present_ = now;
+    auto const found = rows_.find(what.request);
+    if (found == rows_.end())
+    {
+        ledger_.abandon(now, what.request);
+        return;
+    }
+    row& r = found->second;
+    note("caller_left", what.request, "");
+    r.caller_waits = false;
+    if (r.right)
+    {
+        return; // it runs to its end, so that its outcome is recorded
+    }
+    if (r.at == stage::deciding)
+    {
+        ledger_.abandon(now, what.request);
+    }
+    if (r.at == stage::running)
+    {
+        emit_(cancel_attempt{r.attempt});
+        end_attempt(now, r);
+    }
+    if (!r.admitted)
+    {
+        admission_of(r.route.service).abandon(what.request);
+    }
+    remove(now, r);
+}
+
+// Gives the final answer on a request whose time has run out.
+void request_path::expire(time_point now, row& r, int status,
+                          std::string reason)
+{
+    if (r.at == stage::running)
+    {
+        emit_(cancel_attempt{r.attempt});
+        r.run = combine(r.run, verdict::may_have_run);
+        end_attempt(now, r);
+    }
+    if (r.at == stage::deciding)
+    {
+        ledger_.abandon(now, r.request.id);
+    }
+    if (!r.admitted)
+    {
+        admission_of(r.route.service).abandon(r.request.id);
+    }
+    refuse(now, r, status, std::move(reason), failure_retry_after);
+}
+
+} // namespace amarantharch
--- a/src/core/request_path.hpp
+++ b/src/core/request_path.hpp
@@ -167,6 +167,9 @@
     }
 
 private:
+    // When to come back after a failure that says nothing better.
+    static constexpr duration failure_retry_after = std::chrono::seconds(1);
+
     enum class stage : std::uint8_t
     {
         admitting, // waits in the admission queue
