Repeats that made no connection do not use up the retry budget; configuration files are checked; moves in the status

Cause: after two of three upstream processes had died a harmless request got 502, its service's budget of 2 spent on refused connections. Ruled out: outlier ejection (needs 5 failures in a row).

--- a/src/app/commands.cpp
+++ b/src/app/commands.cpp
@@ -5,11 +5,15 @@
 #include "app/server.hpp"
 #include "app/settings.hpp"
 #include "app/signal_watcher.hpp"
+#include "core/configuration.hpp"
 
 #include <QCoreApplication>
 
 #include <fmt/format.h>
 
+#include <fstream>
+#include <iterator>
+
 namespace amarantharch
 {
 
@@ -19,6 +23,7 @@
 namespace options = boost::program_options;
 
 constexpr std::string_view program_version = "0.1.0";
+constexpr std::string_view expected_word = "expected ";
 
 void add_settings(options::options_description& known)
 {
@@ -41,6 +46,42 @@
                        json_escape(fault.expected));
 }
 
+void describe_check(options::options_description& known)
+{
+    add_json(known);
+    (void)known.add_options()(
+        "configuration", "the files are configurations or changes to publish");
+}
+
+// The faults of a configuration file, on its own: what it names and does not
+// hold counts as missing.
+std::vector<settings_fault> configuration_faults(std::string const& file)
+{
+    std::ifstream input(file, std::ios::binary);
+    if (!input)
+    {
+        return {{file, 0, "", "", "a file that can be read"}};
+    }
+    std::string const text{std::istreambuf_iterator<char>(input), {}};
+    auto const parsed = parse_configuration(text);
+    auto const compiled = compile(parsed.sections);
+    std::vector<settings_fault> faults;
+    for (auto const* list : {&parsed.faults, &compiled.faults})
+    {
+        for (configuration_fault const& fault : *list)
+        {
+            std::string_view message = fault.message;
+            if (message.starts_with(expected_word)) // to_text adds it
+            {
+                message.remove_prefix(expected_word.size());
+            }
+            faults.push_back({file, static_cast<std::size_t>(fault.line),
+                              fault.section, fault.key, std::string(message)});
+        }
+    }
+    return faults;
+}
+
 int check(options::variables_map const& given)
 {
     auto const files = operands_of(given);
@@ -52,9 +93,12 @@
     bool const json = given.count("json") != 0;
     std::string rows;
     std::size_t count = 0;
+    bool const configuration = given.count("configuration") != 0;
     for (std::string const& file : files)
     {
-        for (settings_fault const& fault : read_settings_file(file).faults)
+        for (settings_fault const& fault :
+             configuration ? configuration_faults(file)
+                           : read_settings_file(file).faults)
         {
             ++count;
             rows += json && !rows.empty() ? "," : "";
@@ -120,10 +164,10 @@
          "progress end, and the process exits with 0.",
          add_settings, serve},
         {"check", "FILE...",
-         "Check settings files and list every fault.\n"
+         "Check settings or configuration files and list every fault.\n"
          "Each line names file, line, section, key and what was expected. "
          "Exit status 1 if\nthere is a fault.",
-         add_json, check},
+         describe_check, check},
         {"version", "", "Print the version.", add_json, version},
     };
 }
--- a/src/app/once_process_test.cpp
+++ b/src/app/once_process_test.cpp
@@ -280,3 +280,79 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 BOOST_AUTO_TEST_SUITE_END()
+
+namespace
+{
+
+// One VM before three processes of one service, each of which dies on a
+// request that holds "poison".
+struct fragile_service : process_fixture
+{
+    fragile_service()
+    {
+        std::string tables = "[route lookups]\nprefix = /lookups\n"
+                             "service = desk\nidempotent = yes\n";
+        for (std::size_t i = 0; i < desks.size(); ++i)
+        {
+            desks[i] = &start("amarantharch-standin", {"--serve", "plain"});
+            std::string const address =
+                desks[i]->address("port", "role", "plain");
+            auto const set =
+                fetch(address,
+                      {"",
+                       "POST",
+                       "/fault",
+                       {},
+                       R"({"kind":"crash","count":9,"text":"poison"})"},
+                      patience);
+            BOOST_REQUIRE(set.ok() && set->status == 200);
+            tables += fmt::format(
+                "[upstream desk-{}]\naddress = {}\nservice = desk\n", i,
+                address);
+        }
+        vm = &start_vm("entry-0", "asan", tables);
+        caller = vm->address();
+    }
+
+    fetched look_up(std::string const& body, std::string const& key) const
+    {
+        auto const answer = fetch(
+            caller, {"", "POST", "/lookups", {{"Idempotency-Key", key}}, body},
+            patience);
+        BOOST_REQUIRE_MESSAGE(answer.ok(), answer.status().ToString());
+        return *answer;
+    }
+
+    int desks_running() const
+    {
+        int running = 0;
+        for (program const* desk : desks)
+        {
+            running += desk->running() ? 1 : 0;
+        }
+        return running;
+    }
+
+    std::array<program*, 3> desks{};
+    program* vm = nullptr;
+    std::string caller;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(a_request_that_crashes_upstreams, fragile_service)
+
+BOOST_AUTO_TEST_CASE(is_stopped_after_the_second_crash)
+{
+    fetched answer = look_up("poison", "first");
+    BOOST_TEST(answer.body.find("quarantined") != std::string::npos,
+               answer.body);
+    BOOST_TEST(run_until([&] { return desks_running() == 1; }));
+    answer = look_up("poison", "sent again with another key");
+    BOOST_TEST(answer.status == 422);
+    BOOST_TEST(header_value(answer.headers, "X-Verdict") == "not_run");
+    BOOST_TEST(look_up("harmless", "other").status == 200);
+    BOOST_TEST(desks_running() == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/app/process_test.cpp
+++ b/src/app/process_test.cpp
@@ -274,6 +274,22 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(checks_a_configuration_for_every_fault)
+{
+    std::string const path =
+        write_file("change.ini", "[service desk]\nidempotent = maybe\n"
+                                 "[route r]\npath = claims\n");
+    QString const file = QString::fromStdString(path);
+    program& faulty = start("amarantharch", {"check", "--configuration", file});
+    BOOST_TEST(faulty.exit_status() == 1);
+    BOOST_TEST(faulty.output().find("yes or no") != std::string::npos);
+    BOOST_TEST(faulty.output().find("begins with \"/\"") != std::string::npos,
+               faulty.output());
+    (void)write_file("change.ini", "[service desk]\nidempotent = no\n");
+    program& sound = start("amarantharch", {"check", "--configuration", file});
+    BOOST_TEST(sound.exit_status() == 0, sound.output());
+}
+
 BOOST_AUTO_TEST_CASE(accepts_a_file_without_faults)
 {
     std::string const path =
--- a/src/app/server.cpp
+++ b/src/app/server.cpp
@@ -557,6 +557,22 @@
     return handlers;
 }
 
+// The moves of versions as the inside of a JSON object, by name.
+std::string server::moves_as_json() const
+{
+    std::string rows;
+    for (auto const& [name, report] :
+         node_.requests().moves().reports(present()))
+    {
+        rows += rows.empty() ? "" : ",";
+        rows += fmt::format(
+            R"("{}":{{"state":"{}","stage":{},"share":{:.3f},"reason":"{}"}})",
+            json_escape(name), name_in(move_state_names, report.state),
+            report.stage, report.share, json_escape(report.reason));
+    }
+    return rows;
+}
+
 std::string server::status() const
 {
     node_readiness const now = node_.readiness();
@@ -565,13 +581,13 @@
     return fmt::format(
         R"({{"vm":"{}","failure_domain":"{}","ready":{},"reason":"{}",)"
         R"("requests_in_flight":{},"log_reachable":{},"revision":"{}.{}",)"
-        R"("members":{},"ledger_ready":{},"ledger_keys":{}}})",
+        R"("members":{},"ledger_ready":{},"ledger_keys":{},"moves":{{{}}}}})",
         json_escape(options_.vm), json_escape(options_.failure_domain),
         now.ready, json_escape(now.reason),
         node_.requests().requests_in_flight(), control.log().reachable(),
         in_force.offset, in_force.index, control.members().fleet_size(),
         node_.requests().requests_ledger().ready(),
-        node_.requests().requests_ledger().keys());
+        node_.requests().requests_ledger().keys(), moves_as_json());
 }
 
 } // namespace amarantharch
--- a/src/app/server.hpp
+++ b/src/app/server.hpp
@@ -97,6 +97,7 @@
     void start_timers();
     admin_callbacks admin_handlers();
     std::string status() const;
+    std::string moves_as_json() const;
 
     settings options_;
     std::function<void()> done_;
--- a/src/core/request_attempts.cpp
+++ b/src/core/request_attempts.cpp
@@ -24,6 +24,15 @@
 // crash alike at all VMs, since an upstream does not tell its incarnation.
 constexpr duration crash_resolution = std::chrono::milliseconds(500);
 
+// Why an attempt that ended with `reason` is to be repeated.
+retry_cause cause_of(verdict run, std::string const& reason)
+{
+    bool const unconnected =
+        run == verdict::not_run &&
+        (reason == "connect_failed" || reason == "connect_timeout");
+    return unconnected ? retry_cause::not_connected : retry_cause::failed;
+}
+
 } // namespace
 
 request_features request_path::features_of(row const& r) const
@@ -361,7 +370,7 @@
     }
     end_attempt(now, r);
     r.run = combine(r.run, run);
-    if (held_back(now, r) || try_again(now, r))
+    if (held_back(now, r) || try_again(now, r, cause_of(run, reason)))
     {
         return;
     }
@@ -400,9 +409,10 @@
     }
 }
 
-bool request_path::try_again(time_point now, row& r)
+bool request_path::try_again(time_point now, row& r, retry_cause cause)
 {
     retry_question question;
+    question.cause = cause;
     question.service = r.route.service;
     question.id = r.request.id;
     question.run = r.run;
--- a/src/core/request_path.hpp
+++ b/src/core/request_path.hpp
@@ -241,7 +241,7 @@
     row* row_of(attempt_id attempt);
     void end_attempt(time_point now, row& r);
     void failed(time_point now, row& r, verdict run, std::string const& reason);
-    bool try_again(time_point now, row& r);
+    bool try_again(time_point now, row& r, retry_cause cause);
     void relay_piece(time_point now, row& r, std::string const& bytes);
     void give_up_stream(row const& r, refusal const& why);
 
--- a/src/core/retry_budget.cpp
+++ b/src/core/retry_budget.cpp
@@ -80,7 +80,10 @@
     {
         return decision;
     }
-    row.balance -= 1;
+    if (what.cause != retry_cause::not_connected)
+    {
+        row.balance -= 1;
+    }
     if (what.cause == retry_cause::failed)
     {
         duration const wait =
@@ -129,7 +132,10 @@
         return retry_answer::not_safe;
     }
     bool const moves = what.cause == retry_cause::upstream_leaving;
-    if (!moves && what.attempts >= options_.max_attempts)
+    bool const weightless = what.cause == retry_cause::not_connected;
+    std::uint32_t const most =
+        weightless ? options_.max_connect_attempts : options_.max_attempts;
+    if (!moves && what.attempts >= most)
     {
         return retry_answer::too_many;
     }
@@ -137,7 +143,7 @@
     {
         return retry_answer::past_deadline;
     }
-    if (!moves && row.balance < 1)
+    if (!moves && !weightless && row.balance < 1)
     {
         return retry_answer::budget_exhausted;
     }
--- a/src/core/retry_budget.hpp
+++ b/src/core/retry_budget.hpp
@@ -12,6 +12,9 @@
 // Work moved off an upstream that announced its leaving is not refused (it was
 // accepted), but withdraws as well and may overdraw; repeats of other causes
 // then wait until successes have paid it back.
+// An attempt that made no connection puts no load on an upstream, so repeating
+// it elsewhere is bounded by a number of attempts only; thus the loss of a few
+// upstreams does not use up the budget of a service that is seldom called.
 // Cost: O(1), a few dozen bytes a service.
 #ifndef AMARANTHARCH_CORE_RETRY_BUDGET_HPP
 #define AMARANTHARCH_CORE_RETRY_BUDGET_HPP
@@ -34,7 +37,8 @@
     double ratio = 0.15;
     double initial = 2;
     double cap = 50;
-    std::uint32_t max_attempts = 3;                       // of one request
+    std::uint32_t max_attempts = 3;         // of one request
+    std::uint32_t max_connect_attempts = 8; // where none connected
     duration min_attempt = std::chrono::milliseconds(50); // time worth a try
     duration backoff = std::chrono::milliseconds(25);     // doubles each time
     // Share of answers that come before a hedge is sent.
@@ -47,6 +51,7 @@
     failed,           // the attempt failed
     upstream_leaving, // announced: accepted work moves
     hedge,            // the attempt is slow
+    not_connected,    // no connection was made: no load on any upstream
 };
 
 struct retry_question
--- a/src/core/retry_budget_test.cpp
+++ b/src/core/retry_budget_test.cpp
@@ -131,6 +131,21 @@
     BOOST_TEST((budget.ask(start, question()).answer == retry_answer::allowed));
 }
 
+BOOST_AUTO_TEST_CASE(do_not_pay_for_attempts_that_made_no_connection)
+{
+    retry_budget budget({});
+    double const before = budget.balance("drafting");
+    retry_question what = question();
+    what.run = verdict::not_run;
+    what.cause = retry_cause::not_connected;
+    for (what.attempts = 1; what.attempts < 8; ++what.attempts)
+    {
+        BOOST_TEST((budget.ask(start, what).answer == retry_answer::allowed));
+    }
+    BOOST_TEST((budget.ask(start, what).answer == retry_answer::too_many));
+    BOOST_TEST(budget.balance("drafting") == before);
+}
+
 BOOST_AUTO_TEST_CASE(end_with_the_deadline_and_the_count)
 {
     retry_budget budget({});
