--- a/src/app/server.cpp
+++ b/src/app/server.cpp
@@ -485,7 +485,7 @@
 // Asks a few engines for their load, each in its turn.
 void server::poll_upstreams()
 {
-    auto const& rows = options_.tables.upstreams;
+    auto const& rows = node_.requests().tables().upstreams;
     for (std::size_t i = 0; i < std::min(load_polls, rows.size()); ++i)
     {
         upstream_spec const& upstream =
--- a/src/core/move_table_test.cpp
+++ b/src/core/move_table_test.cpp
@@ -45,6 +45,19 @@
         second.configure(at(0), moving);
     }
 
+    // Requests of the new version fail at the first VM, none of the old one.
+    void first_sees_it_fail()
+    {
+        version_choice worse;
+        worse.move = first.choose(at(1), "drafts", "r").move;
+        worse.arm = version_arm::new_version;
+        worse.new_share = 0.01;
+        for (int i = 0; i < 20; ++i)
+        {
+            first.failed("route", worse);
+        }
+    }
+
     void share_log(time_point now, std::vector<std::string> const& records)
     {
         log_batch batch;
@@ -84,14 +97,7 @@
 BOOST_AUTO_TEST_CASE(is_taken_back_at_every_vm_once_one_has_seen_it_fail)
 {
     two_vms vms;
-    version_choice worse;
-    worse.move = vms.first.choose(at(1), "drafts", "r").move;
-    worse.arm = version_arm::new_version;
-    worse.new_share = 0.01;
-    for (int i = 0; i < 20; ++i)
-    {
-        vms.first.failed("route", worse);
-    }
+    vms.first_sees_it_fail();
     auto const records = vms.first.tick(at(2), false);
     BOOST_REQUIRE_EQUAL(records.size(), 1U);
     vms.share_log(at(3), records);
@@ -107,14 +113,7 @@
 BOOST_AUTO_TEST_CASE(has_its_record_appended_again_until_it_is_read_back)
 {
     two_vms vms;
-    version_choice worse;
-    worse.move = vms.first.choose(at(1), "drafts", "r").move;
-    worse.arm = version_arm::new_version;
-    worse.new_share = 0.01;
-    for (int i = 0; i < 20; ++i)
-    {
-        vms.first.failed("route", worse);
-    }
+    vms.first_sees_it_fail();
     BOOST_TEST(vms.first.tick(at(2), false).size() == 1U); // lost
     BOOST_TEST(vms.first.tick(at(3), false).empty());
     auto const again = vms.first.tick(at(5), false);
@@ -126,14 +125,7 @@
 BOOST_AUTO_TEST_CASE(goes_on_over_revisions_that_do_not_change_it)
 {
     two_vms vms;
-    version_choice worse;
-    worse.move = vms.first.choose(at(1), "drafts", "r").move;
-    worse.arm = version_arm::new_version;
-    worse.new_share = 0.01;
-    for (int i = 0; i < 20; ++i)
-    {
-        vms.first.failed("route", worse);
-    }
+    vms.first_sees_it_fail();
     vms.share_log(at(2), vms.first.tick(at(2), false));
     vms.second.configure(at(3), moving);
     BOOST_TEST(
--- a/src/core/request_path.cpp
+++ b/src/core/request_path.cpp
@@ -70,7 +70,7 @@
     {
         if (std::find(kept.begin(), kept.end(), spec.name) == kept.end())
         {
-            upstreams_.remove(spec.name, 0);
+            forget_upstream(spec.name);
         }
     }
     site_ = std::move(tables);
@@ -83,6 +83,17 @@
     }
 }
 
+void request_path::forget_upstream(std::string const& name)
+{
+    auto const index = upstreams_.find(name);
+    if (index)
+    {
+        upstreams_.remove(name, upstreams_.row(*index).incarnation);
+        router_.on_upstream_reset(*index);
+        outliers_.on_upstream_reset(*index);
+    }
+}
+
 // The limit on requests in flight begins at, and never exceeds, what the
 // service's upstreams can run together.
 admission_options request_path::admission_for(std::string const& service) const
--- a/src/core/request_path.hpp
+++ b/src/core/request_path.hpp
@@ -79,6 +79,12 @@
     // Decides by `tables` from now on; requests in progress keep their route.
     void set_site(std::shared_ptr<site const> tables);
 
+    // The tables in force.
+    site const& tables() const
+    {
+        return *site_;
+    }
+
     void handle(time_point now, call_received const& what);
     void handle(time_point now, call_abandoned const& what);
     void handle(time_point now, upstream_head const& what);
@@ -253,6 +259,7 @@
     void remove(time_point now, row& r);
     void expire(time_point now, row& r, int status, std::string reason);
 
+    void forget_upstream(std::string const& name);
     admission_options admission_for(std::string const& service) const;
     admission& admission_of(std::string const& service);
     static std::uint32_t expected_output(row const& r);
