--- a/src/core/control_plane.cpp
+++ b/src/core/control_plane.cpp
@@ -142,11 +142,6 @@
     return log_.append(now, stream, std::move(payload)).status();
 }
 
-void control_plane::read_requests_from(log_offset from)
-{
-    log_.subscribe(log_stream::requests, from);
-}
-
 void control_plane::apply_vm_list(time_point now,
                                   std::vector<listed_member> const& vms)
 {
--- a/src/core/control_plane.hpp
+++ b/src/core/control_plane.hpp
@@ -69,9 +69,6 @@
     // Queues a record for the log; refused when the queue is full.
     absl::Status append(time_point now, log_stream stream, std::string payload);
 
-    // Starts reading the requests stream at `from`.
-    void read_requests_from(log_offset from);
-
     // This VM is leaving.
     void leave()
     {
--- a/src/core/request_attempts.cpp
+++ b/src/core/request_attempts.cpp
@@ -180,7 +180,6 @@
     r.attempt = next_attempt_++;
     r.attempt_started = now;
     r.upstream = picked->upstream;
-    r.first_seen = false;
     ++r.attempts;
     attempts_[r.attempt] = r.request.id;
     if (r.alone)
@@ -237,7 +236,6 @@
         return;
     }
     note_version(now, *r, !fault);
-    r->first_seen = true;
     r->run = verdict::ran;
     retries_.on_first_byte(r->route.service, now - r->attempt_started);
     if (!r->relay)
--- a/src/core/request_path.hpp
+++ b/src/core/request_path.hpp
@@ -144,18 +144,6 @@
     {
         return ledger_;
     }
-    router& routes()
-    {
-        return router_;
-    }
-    upstream_table& upstreams()
-    {
-        return upstreams_;
-    }
-    std::map<std::string, admission>& admissions()
-    {
-        return admissions_;
-    }
 
     std::size_t requests_in_flight() const
     {
@@ -196,7 +184,6 @@
         bool admitted = false;       // holds a slot of its service's admission
         bool caller_waits = true;    // someone still takes the answer
         bool answer_begun = false;   // bytes were given to the caller
-        bool first_seen = false;     // the current attempt has answered
         std::optional<run_id> right; // from the ledger, if non-idempotent
         attempt_id attempt = 0;      // current; 0 if none
         upstream_index upstream = 0; // of the current attempt
