--- a/src/app/commands.cpp
+++ b/src/app/commands.cpp
@@ -2,6 +2,7 @@
 #include "app/commands.hpp"
 
 #include "app/log.hpp"
+#include "app/platform_mode.hpp"
 #include "app/server.hpp"
 #include "app/settings.hpp"
 #include "app/signal_watcher.hpp"
@@ -25,11 +26,29 @@
 constexpr std::string_view program_version = "0.1.0";
 constexpr std::string_view expected_word = "expected ";
 
-void add_settings(options::options_description& known)
+void describe_serve(options::options_description& known)
 {
-    (void)known.add_options()("settings",
-                              options::value<std::string>()->required(),
-                              "the INI file of this VM");
+    (void)known.add_options()("settings", options::value<std::string>(),
+                              "the INI file of this VM")(
+        "platform", "take the settings from the platform that the VM runs on");
+}
+
+// The settings that the options name.
+absl::StatusOr<settings> chosen_settings(options::variables_map const& given)
+{
+    bool const on_platform = given.count("platform") != 0;
+    if (on_platform == (given.count("settings") != 0))
+    {
+        return absl::InvalidArgumentError(
+            "amarantharch serve: expected either --settings or --platform");
+    }
+    if (!on_platform)
+    {
+        return read_settings(given["settings"].as<std::string>());
+    }
+    auto const process = platform::read_process_settings();
+    return process.ok() ? settings_of(*process)
+                        : absl::StatusOr<settings>(process.status());
 }
 
 void add_json(options::options_description& known)
@@ -117,7 +136,7 @@
 
 int serve(options::variables_map const& given)
 {
-    auto const chosen = read_settings(given["settings"].as<std::string>());
+    auto const chosen = chosen_settings(given);
     if (!chosen.ok())
     {
         fmt::print(stderr, "{}\n", std::string(chosen.status().message()));
@@ -162,7 +181,7 @@
          "error; the line\n\"listening\" names its ports. SIGTERM and SIGINT "
          "start a graceful shutdown: new\nrequests are refused, those in "
          "progress end, and the process exits with 0.",
-         add_settings, serve},
+         describe_serve, serve},
         {"check", "FILE...",
          "Check settings or configuration files and list every fault.\n"
          "Each line names file, line, section, key and what was expected. "
--- /dev/null
+++ b/src/app/platform_mode.cpp
@@ -0,0 +1,81 @@
+#include "app/platform_mode.hpp"
+
+#include "net/endpoint.hpp"
+#include "platform/wire_dialect.hpp"
+
+#include <fmt/format.h>
+
+namespace amarantharch
+{
+
+namespace
+{
+
+// Answers other than streams are held until whole up to this size; those of
+// the users' plain services have 800 bytes.
+constexpr std::size_t held_answer_bytes = std::size_t{64} << 10;
+// Connections that a crash must cut together: answers are lost singly there.
+constexpr std::size_t crash_quorum = 3;
+// The engines' sheet gives 56.9 tokens; some work 1.3 times as long.
+constexpr double engine_prefill_tokens_per_ms = 50;
+// Share of the fleet's repeats that VMs use together: the rest is a margin for
+// counting in other windows.
+constexpr double retry_margin = 0.7;
+// VMs that share the repeats beyond the ratio while none has been heard.
+constexpr double assumed_vms = 12;
+constexpr int service_unavailable = 503;
+constexpr std::uint64_t request_memory_divisor = 4;
+constexpr std::uint64_t timeline_bytes = std::uint64_t{512} << 10;
+// Callers reuse connections that were idle for four fifths of the operator's
+// limit, 15 s on the users' sheets.
+constexpr duration idle_timeout = std::chrono::seconds(75);
+
+} // namespace
+
+absl::StatusOr<settings> settings_of(platform::process_settings const& process)
+{
+    auto const callers = parse_endpoint(process.caller_endpoint);
+    auto const readiness = parse_endpoint(process.readiness_endpoint);
+    if (!callers || !readiness)
+    {
+        return absl::InvalidArgumentError(
+            fmt::format("expected ip:port, found \"{}\" and \"{}\"",
+                        process.caller_endpoint, process.readiness_endpoint));
+    }
+    settings result;
+    result.vm = process.vm;
+    result.failure_domain = process.failure_domain;
+    result.region = process.region;
+    result.listen_address = callers->host.toString().toStdString();
+    result.listen_port = callers->port;
+    result.admin_port = readiness->port;
+    result.limits.drain_timeout = process.stop_grace;
+    result.limits.idle_timeout = idle_timeout;
+    if (process.memory_bytes > 0)
+    {
+        result.memory.request_bytes =
+            process.memory_bytes / request_memory_divisor;
+    }
+    result.memory.timeline_bytes = timeline_bytes;
+    result.tables.known = false;
+    result.platform_process = process;
+    return result;
+}
+
+void apply_platform(platform::process_settings const& process,
+                    request_path_options& options)
+{
+    options.spoken = &platform::wire_dialect();
+    options.records_requests = false;
+    options.held_answer_bytes = held_answer_bytes;
+    options.crash_quorum = crash_quorum;
+    options.engine_prefill_tokens_per_ms = engine_prefill_tokens_per_ms;
+    options.unrun_status = service_unavailable;
+    // What upstreams bear is decided by routing; the limit does not shrink.
+    options.admission.limit.late_share = 1;
+    options.retries.ratio = process.retry_ratio * retry_margin;
+    options.retries.cap = process.retry_extra * retry_margin / assumed_vms;
+    options.retries.initial = options.retries.cap;
+}
+
+} // namespace amarantharch
--- a/src/app/server.cpp
+++ b/src/app/server.cpp
@@ -1,14 +1,17 @@
 #include "app/server.hpp"
 
-#include "app/credential.hpp"
 #include "app/log.hpp"
+#include "app/platform_mode.hpp"
 #include "app/publish_admin.hpp"
 #include "app/publisher_key.hpp"
+#include "net/credential.hpp"
 
 #include <QHostAddress>
 
 #include <fmt/format.h>
 
+#include <ctime>
+
 namespace amarantharch
 {
 
@@ -26,10 +29,32 @@
 // How long a stopping VM still listens while the balancer turns away from it.
 constexpr std::chrono::milliseconds listen_grace{500};
 
+// On the platform: a stopping VM takes requests until the balancer has missed
+// its readiness twice, a second apart.
+constexpr std::chrono::milliseconds platform_listen_grace{3'000};
+// An attempt's connection; the upstreams are 3 ms away.
+constexpr duration platform_connect_timeout = std::chrono::milliseconds(300);
+// The upstreams' connections are limited over all VMs.
+constexpr std::size_t platform_idle_connections = 16;
+
+duration since_boot()
+{
+    timespec elapsed{};
+    (void)clock_gettime(CLOCK_BOOTTIME, &elapsed); // fails on no Linux in use
+    return std::chrono::duration_cast<duration>(
+        std::chrono::seconds(elapsed.tv_sec) +
+        std::chrono::nanoseconds(elapsed.tv_nsec));
+}
+
+// The time of day at the process's start and what has passed since: it counts
+// a suspension and does not jump when the time of day is set.
 time_point present()
 {
-    return std::chrono::time_point_cast<duration>(
-        std::chrono::system_clock::now());
+    static duration const booted_at =
+        std::chrono::time_point_cast<duration>(std::chrono::system_clock::now())
+            .time_since_epoch() -
+        since_boot();
+    return time_point(booted_at + since_boot());
 }
 
 QHostAddress host(std::string const& address)
@@ -49,6 +74,7 @@
     limits.header_timeout = options.limits.header_timeout;
     limits.body_timeout = options.limits.body_timeout;
     limits.idle_timeout = options.limits.idle_timeout;
+    limits.fractional_retry_after = options.platform_process.has_value();
     return limits;
 }
 
@@ -69,9 +95,23 @@
     result.control.verify = verify_publisher;
     result.control.uses_log = !options.log_address.empty();
     result.settings_site = options.tables;
+    if (options.platform_process)
+    {
+        apply_platform(*options.platform_process, result.requests);
+    }
     return result;
 }
 
+http_client_limits upstream_limits(settings const& options)
+{
+    http_client_limits limits;
+    if (options.platform_process)
+    {
+        limits.idle_connections_per_address = platform_idle_connections;
+    }
+    return limits;
+}
+
 std::map<std::string, std::string> public_keys(settings const& options)
 {
     std::map<std::string, std::string> keys;
@@ -138,7 +178,8 @@
                   [this](exchange_id e, verdict run, std::string reason)
                   {
                       tell(upstream_failed{e, run, std::move(reason)});
-                  }}),
+                  }},
+                 upstream_limits(options_)),
       admin_(admin_handlers()),
       timeline_(options_.vm, options_.memory.timeline_bytes),
       engines_(engine_timeout)
@@ -149,6 +190,11 @@
         log_ =
             std::make_unique<log_transport>(options_.log_address, log_timeout);
     }
+    if (options_.platform_process)
+    {
+        link_ = std::make_unique<platform::platform_link>(
+            *options_.platform_process, link_handlers());
+    }
     if (!options_.platform_address.empty())
     {
         platform_ = std::make_unique<platform_client>(options_.platform_address,
@@ -158,6 +204,26 @@
 
 server::~server() = default;
 
+platform::link_handlers server::link_handlers()
+{
+    platform::link_handlers handlers;
+    handlers.present = present;
+    handlers.tell = [this](event const& what)
+    {
+        tell(what);
+    };
+    handlers.note = [](std::string_view what, std::string const& details)
+    {
+        log(log_level::info, what, {{"details", details}});
+    };
+    return handlers;
+}
+
+std::chrono::milliseconds server::stop_listening_after() const
+{
+    return link_ ? platform_listen_grace : listen_grace;
+}
+
 // ---- Starting and stopping. ----
 
 absl::Status server::start()
@@ -244,13 +310,13 @@
         return;
     }
     drain_until_ = present() + timeout;
-    listen_until_ = present() + listen_grace;
+    listen_until_ = present() + stop_listening_after();
     log(log_level::info, "draining",
         {{"vm", options_.vm},
          {"timeout_ms", fmt::to_string(to_millis(timeout))},
          {"requests", fmt::to_string(node_.requests().requests_in_flight())}});
     tell(stop_requested{*drain_until_});
-    QTimer::singleShot(listen_grace, &tick_timer_,
+    QTimer::singleShot(stop_listening_after(), &tick_timer_,
                        [this] { callers_.drain(); });
 }
 
@@ -272,6 +338,8 @@
 
 void server::receive(exchange_id exchange, call request)
 {
+    request.credential_digest =
+        token_digest(node_.requests().spoken().read_call(request));
     bool const usable =
         !request.id.empty() && !callers_waiting_.contains(request.id);
     if (!usable)
@@ -279,8 +347,6 @@
         request.id =
             fmt::format("{}-{}-{}", options_.vm, incarnation_, next_request_++);
     }
-    request.credential_digest =
-        credential_digest(header_value(request.headers, "Authorization"));
     caller_row& row = callers_waiting_[request.id];
     row.exchange = exchange;
     row.received = present();
@@ -352,7 +418,13 @@
     {
         row->second.attempt = what.attempt;
     }
-    upstreams_.send(what.attempt, what.address, what.request);
+    http_timeouts timeouts;
+    if (link_) // each request has its own deadline
+    {
+        timeouts = {platform_connect_timeout, duration::zero(),
+                    duration::zero()};
+    }
+    upstreams_.send(what.attempt, what.address, what.request, timeouts);
 }
 
 void server::carry_out(cancel_attempt const& what)
@@ -456,6 +528,10 @@
 void server::tick()
 {
     tell(ticked{});
+    if (link_)
+    {
+        link_->tick();
+    }
     end_if_drained();
 }
 
--- a/src/app/server.hpp
+++ b/src/app/server.hpp
@@ -19,6 +19,7 @@
 #include "net/log_transport.hpp"
 #include "net/peer_transport.hpp"
 #include "net/platform_client.hpp"
+#include "platform/platform_link.hpp"
 
 #include <QTimer>
 
@@ -97,6 +98,8 @@
     absl::Status start_peers();
     void start_timers();
     admin_callbacks admin_handlers();
+    platform::link_handlers link_handlers();
+    std::chrono::milliseconds stop_listening_after() const;
     std::string status() const;
     std::string moves_as_json() const;
 
@@ -112,6 +115,8 @@
     std::unique_ptr<log_transport> log_;        // null: no log configured
     std::unique_ptr<peer_transport> peers_;     // null: no certificates
     std::unique_ptr<platform_client> platform_; // null: none configured
+    // Null unless the VM runs on the users' platform.
+    std::unique_ptr<platform::platform_link> link_;
     engine_client engines_;
     QTimer tick_timer_;
     QTimer platform_timer_;
--- a/src/app/settings.hpp
+++ b/src/app/settings.hpp
@@ -14,10 +14,12 @@
 #include "app/log.hpp"
 #include "core/site.hpp"
 #include "core/time.hpp"
+#include "platform/settings_file.hpp"
 
 #include <absl/status/statusor.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -86,6 +88,10 @@
     // configuration revision is known. An upstream without a service, and a
     // route without one, have the service "default".
     site tables;
+
+    // Set if the VM runs on the users' platform; the members above are then
+    // made from it (see platform_mode).
+    std::optional<platform::process_settings> platform_process;
 };
 
 // One thing wrong with a settings file.
--- a/src/core/admission.hpp
+++ b/src/core/admission.hpp
@@ -162,6 +162,12 @@
 
     void set_weight(std::string const& organisation, double weight);
 
+    // Follows a change of the upstreams that serve the requests.
+    void set_limit(concurrency_limit_options const& options)
+    {
+        limit_.set_options(options);
+    }
+
     admission_result offer(time_point now, admission_request const& what);
 
     // The caller of a waiting request left; true if it waited here.
--- a/src/core/call_fields.cpp
+++ b/src/core/call_fields.cpp
@@ -45,6 +45,14 @@
     return request.method + " " + request.target;
 }
 
+std::string bearer_token(std::string_view authorization)
+{
+    constexpr std::string_view prefix = "Bearer ";
+    return authorization.starts_with(prefix)
+               ? std::string(authorization.substr(prefix.size()))
+               : std::string();
+}
+
 request_key key_of(call const& request, std::string const& organisation)
 {
     std::string_view const given =
--- a/src/core/call_fields.hpp
+++ b/src/core/call_fields.hpp
@@ -30,6 +30,9 @@
 // Method and target: what a request asks for, without its body.
 std::string route_text(call const& request);
 
+// The token of an Authorization field's value, or empty if it bears none.
+std::string bearer_token(std::string_view authorization);
+
 // The key of a request that must not run twice.
 request_key key_of(call const& request, std::string const& organisation);
 
--- a/src/core/concurrency_limit.cpp
+++ b/src/core/concurrency_limit.cpp
@@ -29,6 +29,16 @@
     }
 }
 
+void concurrency_limit::set_options(concurrency_limit_options options)
+{
+    // A limit that has not been lowered follows its ceiling.
+    bool const at_ceiling = limit() >= options_.ceiling;
+    options_ = options;
+    limit_ = at_ceiling ? options_.ceiling
+                        : std::clamp<double>(limit_, options_.floor,
+                                             options_.ceiling);
+}
+
 std::uint32_t concurrency_limit::limit() const
 {
     return static_cast<std::uint32_t>(limit_);
--- a/src/core/concurrency_limit.hpp
+++ b/src/core/concurrency_limit.hpp
@@ -37,6 +37,9 @@
     void on_sample(time_point now, time_point started, bool late,
                    std::uint32_t in_flight);
 
+    // Takes other bounds; the limit moves into them.
+    void set_options(concurrency_limit_options options);
+
     std::uint32_t limit() const;
 
 private:
--- a/src/core/event.hpp
+++ b/src/core/event.hpp
@@ -6,9 +6,11 @@
 #include "core/log_client.hpp"
 #include "core/membership.hpp"
 #include "core/peer_message.hpp"
+#include "core/site.hpp"
 #include "core/upstream_table.hpp"
 
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <variant>
 #include <vector>
@@ -86,6 +88,26 @@
     std::string upstream;
 };
 
+// The tables in force have been read or have changed.
+struct site_read
+{
+    std::shared_ptr<site const> tables;
+};
+
+// An upstream's entry in the platform's directory.
+struct upstream_listed
+{
+    upstream_spec upstream;
+    std::uint64_t incarnation = 0; // grows with each start of its process
+    bool leaving = false;
+};
+
+// The platform's directory no longer has the upstream.
+struct upstream_unlisted
+{
+    std::string upstream;
+};
+
 // This VM is to stop by `deadline`: reclaim notice, SIGTERM or drain command.
 struct stop_requested
 {
@@ -96,7 +118,8 @@
     std::variant<call_received, call_abandoned, upstream_head, upstream_piece,
                  upstream_end, upstream_failed, ticked, log_result,
                  peer_message_received, members_listed, upstream_reported,
-                 upstream_leaving_seen, stop_requested>;
+                 upstream_leaving_seen, site_read, upstream_listed,
+                 upstream_unlisted, stop_requested>;
 
 } // namespace amarantharch
 
--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -106,6 +106,11 @@
     exchange_.upstream_leaving(what.upstream, requests_);
 }
 
+void node::on(time_point, site_read const& what)
+{
+    requests_.set_site(what.tables);
+}
+
 void node::on(time_point now, stop_requested const& what)
 {
     control_.leave();
@@ -118,6 +123,10 @@
     {
         return {false, "draining"};
     }
+    if (!requests_.tables().known)
+    {
+        return {false, "no_configuration"};
+    }
     configuration_readiness const configured = control_.readiness();
     return {configured.ready, configured.reason};
 }
--- a/src/core/node.hpp
+++ b/src/core/node.hpp
@@ -83,6 +83,7 @@
     void on(time_point now, members_listed const& what);
     void on(time_point now, upstream_reported const& what);
     void on(time_point now, upstream_leaving_seen const& what);
+    void on(time_point now, site_read const& what);
     void on(time_point now, stop_requested const& what);
 
     control_plane_handlers control_handlers();
--- a/src/core/prefix_cache.cpp
+++ b/src/core/prefix_cache.cpp
@@ -36,6 +36,28 @@
     return chain;
 }
 
+prefix_chain chain_of(std::vector<prompt_part> const& parts)
+{
+    prefix_chain chain;
+    std::uint64_t previous = 0;
+    for (prompt_part const& part : parts)
+    {
+        std::size_t const blocks =
+            (part.tokens + tokens_per_block - 1) / tokens_per_block;
+        for (std::size_t i = 0; i < blocks; ++i)
+        {
+            if (chain.size() == max_chain_blocks)
+            {
+                return chain;
+            }
+            std::uint64_t const content[] = {part.id, i};
+            previous = XXH3_64bits_withSeed(content, sizeof content, previous);
+            chain.push_back(previous);
+        }
+    }
+    return chain;
+}
+
 prefix_cache::prefix_cache(std::size_t budget_blocks)
     : budget_(std::max<std::size_t>(budget_blocks, 1))
 {
--- a/src/core/prefix_cache.hpp
+++ b/src/core/prefix_cache.hpp
@@ -18,6 +18,7 @@
 #ifndef AMARANTHARCH_CORE_PREFIX_CACHE_HPP
 #define AMARANTHARCH_CORE_PREFIX_CACHE_HPP
 
+#include "core/call.hpp"
 #include "core/upstream_table.hpp"
 
 #include <absl/container/flat_hash_map.h>
@@ -40,6 +41,10 @@
 // The chain of the whole blocks of `prompt`, at most max_chain_blocks.
 prefix_chain hash_prefix(std::string_view prompt);
 
+// The chain of a prompt that is given by its parts: equal leading parts give
+// equal leading blocks. A part's last block may be short.
+prefix_chain chain_of(std::vector<prompt_part> const& parts);
+
 // What an upstream published about its cache. `sequence` grows by one with
 // each message of an upstream's incarnation; a jump is a gap.
 struct cache_events
--- a/src/core/request_attempts.cpp
+++ b/src/core/request_attempts.cpp
@@ -15,9 +15,14 @@
 
 constexpr int http_ok = 200;
 constexpr int http_server_error = 500;
+constexpr int bad_gateway = 502;
 constexpr duration no_upstream_retry_after = std::chrono::seconds(1);
+constexpr std::string_view upstream_error = "upstream_error";
 // Time that an answer needs on its way back to the caller.
 constexpr duration way_back = std::chrono::milliseconds(5);
+// How long an upstream whose address another one holds gets no requests; the
+// directory's news of it should come within this time.
+constexpr duration moved_upstream_pause = std::chrono::seconds(2);
 // How often a request looks again for an upstream that it may run on.
 constexpr duration upstream_wait = std::chrono::milliseconds(20);
 // Crashes of one upstream seen within this time are one crash; it names the
@@ -42,8 +47,10 @@
     features.priority = r.priority;
     if (r.route.kind == upstream_kind::engine)
     {
-        features.prefix = hash_prefix(r.request.body);
-        features.prompt_tokens = tokens_in(r.request.body);
+        features.prefix = r.request.terms.size
+                              ? chain_of(r.request.terms.prompt)
+                              : hash_prefix(r.request.body);
+        features.prompt_tokens = prompt_tokens(r);
         features.expected_output = expected_output(r);
     }
     return features;
@@ -51,22 +58,22 @@
 
 call request_path::outgoing(time_point now, row const& r) const
 {
-    call request = r.request;
-    std::erase_if(request.headers, is_replaced);
+    attempt_terms terms;
+    terms.upstream = upstreams_.row(r.upstream).profile.name;
+    terms.organisation = r.organisation;
+    terms.priority = r.route.priority;
+    terms.urgency = r.urgency;
+    terms.time_left = attempt_deadline(now, r.deadline, way_back) - now;
     if (r.relay)
     {
-        request.headers.push_back(
-            {std::string(stream_id_header), r.relay->stream()});
-        request.headers.push_back({std::string(resume_header),
-                                   fmt::to_string(r.relay->next_offset())});
-    }
-    request.headers.push_back({"X-Request-Id", r.request.id});
-    request.headers.push_back({"X-Organisation", r.organisation});
-    request.headers.push_back({"X-Priority", fmt::to_string(r.route.priority)});
-    duration const left = attempt_deadline(now, r.deadline, way_back) - now;
-    request.headers.push_back(
-        {"X-Timeout-Ms", fmt::to_string(to_millis(left))});
-    return request;
+        terms.stream = r.relay->stream();
+        terms.next_token = r.relay->next_offset();
+    }
+    if (r.events)
+    {
+        terms.last_event = r.events->last_event();
+    }
+    return options_.spoken->write_attempt(r.request, terms);
 }
 
 // Refuses a request that has crashed upstreams, or that may have until all
@@ -190,6 +197,10 @@
     {
         r.relay->begin(r.attempt);
     }
+    if (r.events)
+    {
+        r.events->begin(r.attempt);
+    }
     router_.on_sent(now, r.attempt, features, *picked, upstreams_);
     upstream_profile const& profile = upstreams_.row(r.upstream).profile;
     note("attempt_started", r.request.id,
@@ -224,47 +235,103 @@
     {
         return;
     }
-    auto const stated =
-        value_in(verdict_names, header_value(what.headers, "X-Verdict"));
-    bool const not_run = stated == verdict::not_run;
+    answer_terms const terms = options_.spoken->read_answer(
+        r->request.id, what.status, what.headers);
+    if (terms.load)
+    {
+        upstream_reported(
+            upstreams_.row(r->upstream).profile.name,
+            {now, terms.load->running, terms.load->waiting, 0});
+    }
+    bool const not_run = terms.stated == verdict::not_run;
     bool const fault = what.status >= http_server_error;
-    if (not_run || (fault && r->route.idempotent))
+    // A status that promises what the upstream has not said goes no further.
+    bool const false_promise = options_.spoken != &native_dialect() &&
+                               promises_not_run(what.status);
+    if (not_run || terms.foreign || !terms.vouched || false_promise ||
+        (fault && r->route.idempotent))
     {
-        emit_(cancel_attempt{what.attempt});
-        failed(now, *r, not_run ? verdict::not_run : verdict::ran,
-               "upstream_error");
+        fail_head(now, *r, what, terms);
         return;
     }
     note_version(now, *r, !fault);
-    r->run = verdict::ran;
-    retries_.on_first_byte(r->route.service, now - r->attempt_started);
-    if (!r->relay)
+    begin_answer(now, *r, what);
+}
+
+// Ends an attempt whose head shows that its answer is of no use.
+void request_path::fail_head(time_point now, row& r, upstream_head const& what,
+                             answer_terms const& terms)
+{
+    emit_(cancel_attempt{what.attempt});
+    if (terms.other_upstream)
+    {
+        // Its entry will name its new address, if it lives.
+        upstreams_.row(r.upstream).ejected_until = now + moved_upstream_pause;
+    }
+    if (terms.foreign || !terms.vouched)
+    {
+        failed(now, r, verdict::may_have_run,
+               terms.foreign ? "foreign_answer" : "unvouched_answer");
+        return;
+    }
+    bool const not_run = terms.stated == verdict::not_run;
+    failed(now, r, not_run ? verdict::not_run : verdict::ran,
+           std::string(upstream_error));
+}
+
+void request_path::begin_answer(time_point now, row& r,
+                                upstream_head const& what)
+{
+    r.run = verdict::ran;
+    retries_.on_first_byte(r.route.service, now - r.attempt_started);
+    if (!r.relay)
     {
         router_.on_first_token(what.attempt, std::nullopt);
     }
-    if (r->admitted)
+    if (r.admitted)
     {
-        admission_of(r->route.service).on_first(now, r->request.id);
+        admission_of(r.route.service).on_first(now, r.request.id);
     }
-    r->outcome.run = verdict::ran;
-    r->outcome.status = what.status;
-    r->outcome.content_type =
+    r.outcome.run = verdict::ran;
+    r.outcome.status = what.status;
+    r.outcome.content_type =
         std::string(header_value(what.headers, "Content-Type"));
-    if (r->relay && what.status != http_ok)
+    if (what.status != http_ok) // an error's body is passed on as it is
     {
-        r->relay.reset(); // an error's body is passed on as it is
+        r.relay.reset();
+        r.events.reset();
     }
-    if (r->caller_waits && !r->answer_begun)
+    if (!r.caller_waits || r.answer_begun)
     {
-        r->answer_begun = true;
-        header_list headers = what.headers;
-        if (r->relay)
-        {
-            headers.push_back(
-                {std::string(stream_id_header), r->relay->stream()});
-        }
-        headers.push_back({"X-Verdict", std::string(name(verdict::ran))});
-        emit_(answer_head{r->request.id, what.status, std::move(headers)});
+        return;
+    }
+    header_list headers = what.headers;
+    if (r.relay)
+    {
+        headers.push_back({std::string(stream_id_header), r.relay->stream()});
+    }
+    headers.push_back({"X-Verdict", std::string(name(verdict::ran))});
+    r.held_head = answer_head{r.request.id, what.status, std::move(headers)};
+    r.held_bytes.clear();
+    bool const holds = r.events || options_.held_answer_bytes > 0;
+    if (!holds || r.relay)
+    {
+        release_held(r);
+    }
+}
+
+// Begins to pass an answer on; what was held of it goes first.
+void request_path::release_held(row& r)
+{
+    if (!r.held_head)
+    {
+        return;
+    }
+    r.answer_begun = true;
+    emit_(*std::exchange(r.held_head, std::nullopt));
+    if (!r.held_bytes.empty())
+    {
+        emit_(answer_piece{r.request.id, std::exchange(r.held_bytes, {})});
     }
 }
 
@@ -281,6 +348,11 @@
         relay_piece(now, *r, what.bytes);
         return;
     }
+    if (r->events)
+    {
+        relay_events(now, *r, what.bytes);
+        return;
+    }
     r->answer_bytes += what.bytes.size();
     // Collected until it is too large to be kept, and then no further.
     if (r->right &&
@@ -288,9 +360,39 @@
     {
         r->outcome.answer += what.bytes;
     }
-    if (r->caller_waits)
+    if (!r->caller_waits)
+    {
+        return;
+    }
+    if (r->held_head)
+    {
+        r->held_bytes += what.bytes;
+        if (r->held_bytes.size() > options_.held_answer_bytes)
+        {
+            release_held(*r);
+        }
+        return;
+    }
+    emit_(answer_piece{r->request.id, what.bytes});
+}
+
+// Passes on whole events; a gap ends the attempt, and the stream is resumed
+// elsewhere if it can be.
+void request_path::relay_events(time_point now, row& r,
+                                std::string const& bytes)
+{
+    std::string out;
+    bool const whole = r.events->piece(r.attempt, bytes, out);
+    r.answer_bytes += out.size();
+    if (!out.empty() && r.caller_waits)
+    {
+        release_held(r);
+        emit_(answer_piece{r.request.id, std::move(out)});
+    }
+    if (!whole)
     {
-        emit_(answer_piece{r->request.id, what.bytes});
+        emit_(cancel_attempt{r.attempt});
+        failed(now, r, verdict::ran, "stream_broken");
     }
 }
 
@@ -332,6 +434,11 @@
         failed(now, *r, verdict::ran, "stream_cut");
         return;
     }
+    if (r->events && !r->events->end(what.attempt))
+    {
+        failed(now, *r, verdict::ran, "stream_cut");
+        return;
+    }
     outliers_.on_result(now, r->upstream, true, upstreams_);
     end_attempt(now, *r);
     if (r->alone)
@@ -360,7 +467,13 @@
                      reason));
     note_version(now, r, false);
     note_lost(now, r, reason);
-    outliers_.on_result(now, r.upstream, false, upstreams_);
+    bool const declined = run == verdict::not_run && reason == upstream_error;
+    if (!declined) // one that is full is not faulty
+    {
+        outliers_.on_result(now, r.upstream, false, upstreams_);
+    }
+    r.held_head.reset(); // none of that answer is passed on
+    r.held_bytes.clear();
     r.tried.push_back(r.upstream);
     if (r.relay)
     {
@@ -372,7 +485,9 @@
     {
         return;
     }
-    refuse(now, r, 502, reason, failure_retry_after);
+    int const status =
+        r.run == verdict::not_run ? options_.unrun_status : bad_gateway;
+    refuse(now, r, status, reason, failure_retry_after);
 }
 
 // Looks for a crash of the upstream behind a lost connection.
@@ -395,7 +510,7 @@
         }
     }
     auto const carried = crashes_.lost(now, r.upstream, r.attempt, present);
-    if (carried)
+    if (carried && carried->size() >= options_.crash_quorum)
     {
         auto const instant = static_cast<std::uint64_t>(now.time_since_epoch() /
                                                         crash_resolution);
@@ -416,7 +531,9 @@
     question.run = r.run;
     question.idempotent = r.route.idempotent;
     question.answer_begun = r.answer_begun;
-    question.resumable = r.relay.has_value();
+    question.resumable =
+        r.relay.has_value() || (r.events && r.route.resumable);
+    question.max_attempts = r.route.max_attempts;
     question.attempts = r.attempts;
     question.deadline = r.deadline;
     retry_decision const decision = retries_.ask(now, question);
--- a/src/core/request_endings.cpp
+++ b/src/core/request_endings.cpp
@@ -9,10 +9,18 @@
 namespace amarantharch
 {
 
+namespace
+{
+
+constexpr int bad_gateway = 502;
+
+} // namespace
+
 void request_path::finish(time_point now, row& r)
 {
     if (r.caller_waits)
     {
+        release_held(r);
         emit_(answer_end{r.request.id});
     }
     note("request_answered", r.request.id,
@@ -28,6 +36,11 @@
     {
         retry_after = duration::zero(); // a repeat would learn no more
     }
+    if (r.run != verdict::not_run && promises_not_run(status))
+    {
+        status = bad_gateway;
+        retry_after = duration::zero();
+    }
     note("request_refused", r.request.id,
          fmt::format("verdict={} reason={}", name(r.run), reason));
     if (r.caller_waits)
@@ -75,7 +88,7 @@
     if (r.admitted)
     {
         std::uint32_t const tokens = charged_tokens(
-            tokens_in(r.request.body),
+            prompt_tokens(r),
             static_cast<std::uint32_t>(r.answer_bytes / bytes_per_token));
         admission_of(r.route.service).on_end(now, r.request.id, tokens);
     }
@@ -83,6 +96,15 @@
     rows_.erase(request_id(r.request.id));
 }
 
+// Whether a request runs to its end without its caller: its outcome is to be
+// recorded, or its effect cannot be asked for again.
+bool request_path::outlives_caller(row const& r) const
+{
+    bool const effect = !r.route.idempotent && !r.events && !r.relay;
+    return r.right ||
+           (!options_.records_requests && effect && r.at == stage::running);
+}
+
 void request_path::handle(time_point now, call_abandoned const& what)
 {
     present_ = now;
@@ -95,9 +117,9 @@
     row& r = found->second;
     note("caller_left", what.request, "");
     r.caller_waits = false;
-    if (r.right)
+    if (outlives_caller(r))
     {
-        return; // it runs to its end, so that its outcome is recorded
+        return;
     }
     if (r.at == stage::deciding)
     {
--- a/src/core/request_path.cpp
+++ b/src/core/request_path.cpp
@@ -20,7 +20,8 @@
 constexpr std::uint32_t default_output_tokens = 128;
 constexpr std::string_view inquiry_prefix = "/v1/requests/";
 
-upstream_profile profile_of(upstream_spec const& spec)
+upstream_profile profile_of(upstream_spec const& spec,
+                            request_path_options const& options)
 {
     upstream_profile profile;
     profile.name = spec.name;
@@ -32,6 +33,7 @@
     profile.price_per_hour = spec.price;
     profile.reclaimable = spec.reclaimable;
     profile.slots = spec.capacity;
+    profile.prefill_tokens_per_ms = options.engine_prefill_tokens_per_ms;
     return profile;
 }
 
@@ -64,7 +66,7 @@
     for (upstream_spec const& spec : tables->upstreams)
     {
         kept.push_back(spec.name);
-        upstreams_.put(profile_of(spec));
+        upstreams_.put(profile_of(spec, options_));
     }
     for (upstream_spec const& spec : site_->upstreams)
     {
@@ -99,11 +101,13 @@
 admission_options request_path::admission_for(std::string const& service) const
 {
     admission_options options = options_.admission;
-    std::uint32_t slots = 0;
-    for (upstream_spec const& upstream : site_->upstreams)
+    std::uint32_t listed = 0;
+    for (auto const& point : upstreams_.ring(service))
     {
-        slots += upstream.service == service ? upstream.capacity : 0;
+        listed += upstreams_.row(point.upstream).profile.slots;
     }
+    auto const slots =
+        static_cast<std::uint32_t>(listed * options_.admitted_per_slot);
     if (slots > 0)
     {
         options.limit.initial = slots;
@@ -138,8 +142,26 @@
 
 // ---- Arrival. ----
 
+// The organisation's rank goes before the route's.
+std::uint8_t request_path::urgency_of(std::string const& organisation,
+                                      route_spec const& route) const
+{
+    constexpr int ranks_each = 3;
+    int rank = route.urgency_rank;
+    for (organisation_spec const& known : site_->organisations)
+    {
+        rank += known.name == organisation ? known.urgency_rank * ranks_each : 0;
+    }
+    return static_cast<std::uint8_t>(
+        std::min<int>(rank, lowest_urgency_rank));
+}
+
 std::uint32_t request_path::expected_output(row const& r)
 {
+    if (r.request.terms.size)
+    {
+        return r.request.terms.size->most_output;
+    }
     return r.route.kind == upstream_kind::engine ? default_output_tokens : 1;
 }
 
@@ -147,6 +169,11 @@
 request_path::refuse_early(call const& request, std::string const& organisation,
                            route_spec const* route) const
 {
+    if (!site_->known)
+    {
+        return refusal{503, verdict::not_run, "no_configuration",
+                       overload_retry_after};
+    }
     if (route == nullptr)
     {
         return refusal{404, verdict::not_run, "no_route", duration::zero()};
@@ -157,7 +184,8 @@
                        duration::zero()};
     }
     bool const keyless =
-        wants_asynchronous(request) && !route->idempotent &&
+        options_.records_requests && wants_asynchronous(request) &&
+        !route->idempotent &&
         header_value(request.headers, "Idempotency-Key").empty();
     if (keyless)
     {
@@ -178,8 +206,13 @@
 {
     present_ = now;
     call const& request = what.request;
+    route_spec const* const route =
+        match_route(*site_, request.target, request.terms.host);
+    bool const open = route != nullptr && route->open_to_all;
     auto const organisation =
-        identify_organisation(*site_, request.credential_digest);
+        open || !site_->known
+            ? std::string()
+            : identify_organisation(*site_, request.credential_digest);
     if (!organisation)
     {
         emit_(answer_refusal{
@@ -187,12 +220,12 @@
             {401, verdict::not_run, "unknown_organisation", duration::zero()}});
         return;
     }
-    if (request.target.starts_with(inquiry_prefix))
+    if (options_.records_requests &&
+        request.target.starts_with(inquiry_prefix))
     {
         answer_inquiry(now, request, *organisation);
         return;
     }
-    route_spec const* const route = match_route(*site_, request.target);
     if (auto const why = refuse_early(request, *organisation, route))
     {
         emit_(answer_refusal{request.id, *why});
@@ -202,12 +235,19 @@
     r.request = request;
     r.organisation = *organisation;
     r.route = *route;
+    r.route.service = service_of(*route, request.id);
     r.priority = class_of(route->priority);
-    r.deadline = now + route->timeout;
+    r.urgency = urgency_of(*organisation, *route);
+    r.deadline = now + std::min(route->timeout, request.terms.time_limit.value_or(
+                                                    route->timeout));
     r.print = fingerprint_of(route->service, request.method, request.target,
                              request.body);
     held_bytes_ += request.body.size();
-    if (route->kind == upstream_kind::engine && wants_stream(request.body))
+    if (route->event_stream)
+    {
+        r.events.emplace(request.terms.resume_after);
+    }
+    else if (route->kind == upstream_kind::engine && wants_stream(request.body))
     {
         r.relay.emplace(stream_id_of(request), resume_offset(request.headers),
                         options_.stream_history_bytes);
@@ -219,7 +259,8 @@
         refuse(now, r, 503, "stopping", failure_retry_after);
         return;
     }
-    if (!route->idempotent && wants_asynchronous(request))
+    if (options_.records_requests && !route->idempotent &&
+        wants_asynchronous(request))
     {
         submit(now, r, true);
         return;
@@ -234,14 +275,19 @@
     ledger_.inquire(now, request.id, key_from_header(organisation, given));
 }
 
+std::uint32_t request_path::prompt_tokens(row const& r)
+{
+    return r.request.terms.size ? r.request.terms.size->prompt
+                                : tokens_in(r.request.body);
+}
+
 void request_path::admit(time_point now, row& r)
 {
     admission_request asked;
     asked.id = r.request.id;
     asked.organisation = r.organisation;
     asked.priority = r.priority;
-    asked.tokens =
-        charged_tokens(tokens_in(r.request.body), expected_output(r));
+    asked.tokens = charged_tokens(prompt_tokens(r), expected_output(r));
     asked.bytes = r.request.body.size();
     asked.deadline = r.deadline;
     admission_result const result =
@@ -267,7 +313,7 @@
 {
     row& r = rows_.at(id);
     r.admitted = true;
-    if (r.route.idempotent || r.right)
+    if (r.route.idempotent || r.right || !options_.records_requests)
     {
         dispatch(now, r);
         return;
@@ -440,6 +486,56 @@
     }
 }
 
+void request_path::handle(time_point now, upstream_listed const& what)
+{
+    present_ = now;
+    std::string const& name = what.upstream.name;
+    auto const known = upstreams_.find(name);
+    if (known && what.incarnation > upstreams_.row(*known).incarnation)
+    {
+        router_.on_upstream_reset(*known);
+        outliers_.on_upstream_reset(*known);
+    }
+    upstreams_.put(profile_of(what.upstream, options_), what.incarnation);
+    if (what.leaving)
+    {
+        upstreams_.mark_leaving(name, what.incarnation);
+    }
+    if (!known || what.leaving)
+    {
+        note(what.leaving ? "upstream_leaving" : "upstream_entered", "",
+             fmt::format("upstream={} service={} address={} incarnation={}",
+                         name, what.upstream.service, what.upstream.address,
+                         what.incarnation));
+    }
+    refresh_limit(what.upstream.service);
+}
+
+void request_path::handle(time_point now, upstream_unlisted const& what)
+{
+    present_ = now;
+    auto const known = upstreams_.find(what.upstream);
+    if (!known)
+    {
+        return;
+    }
+    std::string const service = upstreams_.row(*known).profile.service;
+    forget_upstream(what.upstream);
+    note("upstream_removed", "",
+         fmt::format("upstream={} service={}", what.upstream, service));
+    refresh_limit(service);
+}
+
+// Follows a change of a service's upstreams.
+void request_path::refresh_limit(std::string const& service)
+{
+    auto const gate = admissions_.find(service);
+    if (gate != admissions_.end())
+    {
+        gate->second.set_limit(admission_for(service).limit);
+    }
+}
+
 void request_path::upstream_reported(std::string const& upstream,
                                      upstream_report const& report)
 {
--- a/src/core/request_path.hpp
+++ b/src/core/request_path.hpp
@@ -23,7 +23,9 @@
 #include "core/admission.hpp"
 #include "core/command.hpp"
 #include "core/crash_detector.hpp"
+#include "core/dialect.hpp"
 #include "core/event.hpp"
+#include "core/event_relay.hpp"
 #include "core/ledger.hpp"
 #include "core/move_table.hpp"
 #include "core/outlier.hpp"
@@ -64,6 +66,24 @@
     // Bytes of a stream's last tokens kept while it is relayed.
     std::size_t stream_history_bytes = std::size_t{16} << 10;
     ledger_options requests_ledger; // vm and incarnation are filled in
+    dialect const* spoken = &native_dialect();
+    // Whether the log records requests that must not run twice, so that a
+    // repeat of one at another VM is known. Without it each request is a new
+    // one, and running it at most once is this VM's business alone.
+    bool records_requests = true;
+    // Answers other than streams are passed on only once they are whole, if
+    // they are no larger than this: until then they can be asked for again.
+    std::size_t held_answer_bytes = 0;
+    // Requests in flight that this VM admits for each slot of a service's
+    // upstreams.
+    double admitted_per_slot = 1;
+    // Prompt tokens that an engine reads in a millisecond.
+    double engine_prefill_tokens_per_ms = 10;
+    // The answer where no attempt was run and none may follow.
+    int unrun_status = 502;
+    // Upstreams are taken for crashed only if at least so many connections
+    // were lost together.
+    std::size_t crash_quorum = 1;
 };
 
 class request_path
@@ -85,6 +105,12 @@
         return *site_;
     }
 
+    // How requests and answers are spoken.
+    dialect const& spoken() const
+    {
+        return *options_.spoken;
+    }
+
     void handle(time_point now, call_received const& what);
     void handle(time_point now, call_abandoned const& what);
     void handle(time_point now, upstream_head const& what);
@@ -100,6 +126,10 @@
     // requests from now on.
     void upstream_leaving(std::string const& upstream);
 
+    // An upstream's entry in the platform's directory, and its removal.
+    void handle(time_point now, upstream_listed const& what);
+    void handle(time_point now, upstream_unlisted const& what);
+
     // The load that an upstream reports of itself; unknown ones are ignored.
     void upstream_reported(std::string const& upstream,
                            upstream_report const& report);
@@ -189,11 +219,16 @@
         upstream_index upstream = 0; // of the current attempt
         time_point attempt_started;
         std::uint32_t attempts = 0;
+        std::uint8_t urgency = 0; // 0 first; see attempt_terms
         std::vector<upstream_index> tried;
         verdict run = verdict::not_run; // of all ended attempts, combined
         std::uint64_t answer_bytes = 0;
         run_outcome outcome;               // collected for the ledger
         std::optional<stream_relay> relay; // if tokens are streamed
+        std::optional<event_relay> events; // if other events are streamed
+        // Head and first bytes of an answer that is not passed on yet.
+        std::optional<answer_head> held_head;
+        std::string held_bytes;
         version_choice version;
         fingerprint print = 0;
         bool alone = false; // its upstream is reserved for it
@@ -236,6 +271,12 @@
     void failed(time_point now, row& r, verdict run, std::string const& reason);
     bool try_again(time_point now, row& r, retry_cause cause);
     void relay_piece(time_point now, row& r, std::string const& bytes);
+    void relay_events(time_point now, row& r, std::string const& bytes);
+    void release_held(row& r);
+    bool outlives_caller(row const& r) const;
+    void fail_head(time_point now, row& r, upstream_head const& what,
+                   answer_terms const& terms);
+    void begin_answer(time_point now, row& r, upstream_head const& what);
     void give_up_stream(row const& r, refusal const& why);
 
     // Endings.
@@ -249,7 +290,11 @@
     void forget_upstream(std::string const& name);
     admission_options admission_for(std::string const& service) const;
     admission& admission_of(std::string const& service);
+    void refresh_limit(std::string const& service);
+    std::uint8_t urgency_of(std::string const& organisation,
+                            route_spec const& route) const;
     static std::uint32_t expected_output(row const& r);
+    static std::uint32_t prompt_tokens(row const& r);
     void note(std::string kind, request_id const& request, std::string details);
 
     request_path_options options_;
--- a/src/core/retry_budget.cpp
+++ b/src/core/retry_budget.cpp
@@ -133,8 +133,10 @@
     }
     bool const moves = what.cause == retry_cause::upstream_leaving;
     bool const weightless = what.cause == retry_cause::not_connected;
+    std::uint32_t const given =
+        what.max_attempts > 0 ? what.max_attempts : options_.max_attempts;
     std::uint32_t const most =
-        weightless ? options_.max_connect_attempts : options_.max_attempts;
+        weightless ? std::max(given, options_.max_connect_attempts) : given;
     if (!moves && what.attempts >= most)
     {
         return retry_answer::too_many;
--- a/src/core/retry_budget.hpp
+++ b/src/core/retry_budget.hpp
@@ -64,6 +64,7 @@
     bool answer_begun = false; // bytes reached the caller
     bool resumable = false;    // the stream can go on at an offset
     std::uint32_t attempts = 1;
+    std::uint32_t max_attempts = 0; // of the request's route; 0: the budget's
     time_point deadline;
 };
 
--- a/src/core/site.cpp
+++ b/src/core/site.cpp
@@ -3,6 +3,7 @@
 #include "core/configuration.hpp"
 
 #include <absl/strings/match.h>
+#include <xxhash.h>
 
 #include <algorithm>
 
@@ -72,14 +73,16 @@
 
 } // namespace
 
-route_spec const* match_route(site const& tables, std::string_view target)
+route_spec const* match_route(site const& tables, std::string_view target,
+                              std::string_view host)
 {
     route_spec const* best = nullptr;
     for (route_spec const& route : tables.routes)
     {
         bool const longer =
             best == nullptr || route.prefix.size() > best->prefix.size();
-        if (longer && target.starts_with(route.prefix))
+        bool const same_host = route.host.empty() || route.host == host;
+        if (longer && same_host && target.starts_with(route.prefix))
         {
             best = &route;
         }
@@ -87,6 +90,31 @@
     return best;
 }
 
+std::string const& service_of(route_spec const& route, request_id const& id)
+{
+    double total = 0;
+    for (service_share const& share : route.shares)
+    {
+        total += share.weight;
+    }
+    if (total <= 0)
+    {
+        return route.service;
+    }
+    constexpr std::uint64_t steps = std::uint64_t{1} << 20;
+    double left = static_cast<double>(XXH3_64bits(id.data(), id.size()) % steps) /
+                  static_cast<double>(steps) * total;
+    for (service_share const& share : route.shares)
+    {
+        left -= share.weight;
+        if (left < 0)
+        {
+            return share.service;
+        }
+    }
+    return route.shares.back().service;
+}
+
 std::string_view header_value(header_list const& headers, std::string_view name)
 {
     for (header_field const& field : headers)
@@ -120,6 +148,13 @@
         {
             return organisation.name;
         }
+        for (std::string const& digest : organisation.further_key_digests)
+        {
+            if (equal_in_constant_time(digest, credential_digest))
+            {
+                return organisation.name;
+            }
+        }
     }
     return std::nullopt;
 }
--- a/src/core/site.hpp
+++ b/src/core/site.hpp
@@ -36,6 +36,15 @@
 inline constexpr std::uint8_t default_route_priority = 4;
 
 // What is done with requests whose path begins with `prefix`.
+// The greatest rank of urgency.
+inline constexpr std::uint8_t lowest_urgency_rank = 9;
+
+struct service_share
+{
+    std::string service;
+    double weight = 0; // relative to the route's other shares
+};
+
 struct route_spec
 {
     std::string name;
@@ -47,6 +56,24 @@
     std::uint8_t priority = default_route_priority; // 0 is served last
     // Whose requests it takes; nothing: everybody's.
     std::optional<std::vector<std::string>> organisations = std::nullopt;
+    std::string host = {};        // empty: any host
+    bool open_to_all = false;     // takes requests without a credential
+    bool event_stream = false;    // answered by events with ascending ids
+    bool resumable = false;       // an event stream may go on elsewhere
+    std::uint32_t max_attempts = 0; // 0: as the retry budget has it
+    duration latency_target{};      // 0: none
+    std::uint8_t urgency_rank = 0;  // 0 goes first at an engine
+    // Splits the route between services; empty: all goes to `service`.
+    std::vector<service_share> shares = {};
+};
+
+// What an organisation may use in any window, over all VMs.
+struct quota_spec
+{
+    double rate_per_second = 0; // 0: no limit
+    double burst = 0;
+    bool counts_tokens = false;         // else requests
+    double unsized_request_tokens = 0;  // charged where no size is given
 };
 
 struct organisation_spec
@@ -54,6 +81,9 @@
     std::string name;
     double weight = 1.0;    // share relative to other organisations
     std::string key_digest; // hex SHA-256 of its callers' bearer token
+    std::vector<std::string> further_key_digests = {};
+    quota_spec quota = {};
+    std::uint8_t urgency_rank = 0; // 0 goes first
 };
 
 struct upstream_spec
@@ -71,13 +101,20 @@
 
 struct site
 {
+    bool known = true; // false: no configuration has been read yet
     std::vector<route_spec> routes;
     std::vector<organisation_spec> organisations;
     std::vector<upstream_spec> upstreams;
 };
 
-// The route with the longest prefix of `target`, or null. Linear in routes.
-route_spec const* match_route(site const& tables, std::string_view target);
+// The route of `host` with the longest prefix of `target`, or null. Linear in
+// routes.
+route_spec const* match_route(site const& tables, std::string_view target,
+                              std::string_view host = {});
+
+// The service that a request on `route` goes to: by the route's shares, the
+// same for equal ids.
+std::string const& service_of(route_spec const& route, request_id const& id);
 
 // Whether `route` takes requests of `organisation`.
 bool admits(route_spec const& route, std::string const& organisation);
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -14,6 +14,7 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <charconv>
 #include <list>
 #include <optional>
 #include <unordered_map>
@@ -30,6 +31,9 @@
 using steady_time = steady_clock::time_point;
 
 constexpr std::chrono::milliseconds sweep_interval{20};
+// An idle connection is given up so long before its upstream would close it:
+// a request that crosses the close would be lost.
+constexpr duration keep_alive_margin = std::chrono::milliseconds(500);
 // Interim answers (1xx) that one request may get.
 constexpr int interim_answers = 16;
 constexpr int status_switching_protocols = 101;
@@ -87,6 +91,7 @@
     bool head_request = false;
     bool taken = false; // the kernel has taken a byte of the request
     bool paused = false;
+    std::optional<duration> idle_limit; // the upstream's
     int interims = 0;
     bool ended = false; // the connection did; last bytes may be unread
     // Set for an answer whose body ends with the connection.
@@ -186,7 +191,10 @@
         row.address = address;
         row.timeouts = timeouts;
         row.head_request = request.method == "HEAD";
-        row.wire = serialize_request(request, address);
+        row.wire = serialize_request(
+            request, request.terms.host.empty()
+                         ? std::string_view(address)
+                         : std::string_view(request.terms.host));
         expect_answer(row);
         row.socket = take_idle(address);
         if (row.socket != nullptr)
@@ -366,6 +374,7 @@
         row->state = phase::body;
         row->deadline = after(now, row->timeouts.piece);
         auto const& message = row->parser->get();
+        note_idle_limit(*row, std::string(message[http::field::keep_alive]));
         if (row->parser->need_eof() && !row->parser->is_done())
         {
             row->connection = std::make_unique<connection_state>(*row->socket);
@@ -399,10 +408,30 @@
             row.socket->state() == QAbstractSocket::ConnectedState &&
             row.socket->bytesToWrite() == 0 &&
             row.socket->bytesAvailable() == 0;
-        reusable ? keep(row.address, row.socket, now) : discard(row.socket);
+        duration const idle = std::min(
+            limits_.idle_lifetime, row.idle_limit.value_or(duration::max()));
+        reusable && idle > duration::zero()
+            ? keep(row.address, row.socket, now + idle)
+            : discard(row.socket);
         handlers_.end(exchange);
     }
 
+    // How long the upstream keeps the connection, as its Keep-Alive field
+    // says, less a margin for what is already on its way.
+    static void note_idle_limit(exchange_row& row, std::string const& field)
+    {
+        constexpr std::string_view parameter = "timeout=";
+        auto const at = field.find(parameter);
+        int seconds = 0;
+        if (at != std::string::npos &&
+            std::from_chars(field.data() + at + parameter.size(),
+                            field.data() + field.size(), seconds)
+                    .ec == std::errc())
+        {
+            row.idle_limit = std::chrono::seconds(seconds) - keep_alive_margin;
+        }
+    }
+
     void broken(exchange_id exchange)
     {
         exchange_row& row = rows_.at(exchange);
@@ -537,9 +566,10 @@
         idle_.erase(row);
     }
 
-    void keep(std::string const& address, QTcpSocket* socket, steady_time now)
+    void keep(std::string const& address, QTcpSocket* socket,
+              steady_time expires)
     {
-        idle_.push_back({address, socket, now + limits_.idle_lifetime});
+        idle_.push_back({address, socket, expires});
         if (++idle_of_address_[address] > limits_.idle_connections_per_address)
         {
             close_oldest(address);
@@ -586,9 +616,14 @@
 
     void sweep(steady_time now)
     {
-        while (!idle_.empty() && now >= idle_.front().expires)
+        for (auto row = idle_.begin(); row != idle_.end();)
         {
-            close_idle(idle_.begin());
+            auto const next = std::next(row);
+            if (now >= row->expires)
+            {
+                close_idle(row);
+            }
+            row = next;
         }
         std::vector<exchange_id> due;
         for (auto const& [exchange, row] : rows_)
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -125,7 +125,8 @@
                        name(why.run), why.reason, to_millis(why.retry_after));
 }
 
-header_list refusal_headers(request_id const& request, refusal const& why)
+header_list refusal_headers(request_id const& request, refusal const& why,
+                            bool fractional)
 {
     header_list headers{{"Content-Type", "application/json"},
                         {"X-Request-Id", request},
@@ -134,7 +135,12 @@
     {
         auto const seconds =
             std::chrono::ceil<std::chrono::seconds>(why.retry_after);
-        headers.push_back({"Retry-After", fmt::to_string(seconds.count())});
+        headers.push_back(
+            {"Retry-After",
+             fractional ? fmt::format("{:.3f}", std::chrono::duration<double>(
+                                                    why.retry_after)
+                                                    .count())
+                        : fmt::to_string(seconds.count())});
     }
     return headers;
 }
@@ -623,7 +629,8 @@
             answer_abort(*row);
             return;
         }
-        answer(*row, why.status, refusal_headers(request, why),
+        answer(*row, why.status,
+               refusal_headers(request, why, limits_.fractional_retry_after),
                refusal_body(why));
     }
 
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -69,6 +69,9 @@
     duration drain_grace = std::chrono::seconds(1);
     // What refusals for lack of room give as the time to come back.
     duration retry_after = std::chrono::seconds(1);
+    // Whether callers take fractions of a second in Retry-After; else it is
+    // rounded up.
+    bool fractional_retry_after = false;
 };
 
 struct http_server_handlers
