--- a/src/app/server.cpp
+++ b/src/app/server.cpp
@@ -521,6 +521,11 @@
 void server::carry_out(record_timeline const& what)
 {
     timeline_.record(present(), what.kind, what.request, what.details);
+    if (link_) // elsewhere the admin endpoint serves the time line
+    {
+        log(log_level::info, what.kind,
+            {{"request", what.request}, {"details", what.details}});
+    }
 }
 
 // ---- The platform. ----
--- a/src/core/request_attempts.cpp
+++ b/src/core/request_attempts.cpp
@@ -275,6 +275,8 @@
         return;
     }
     bool const not_run = terms.stated == verdict::not_run;
+    note("attempt_declined", r.request.id,
+         fmt::format("attempt={} status={}", what.attempt, what.status));
     failed(now, r, not_run ? verdict::not_run : verdict::ran,
            std::string(upstream_error));
 }
