--- a/src/app/platform_mode.cpp
+++ b/src/app/platform_mode.cpp
@@ -23,6 +23,9 @@
 constexpr double retry_margin = 0.7;
 // VMs that share the repeats beyond the ratio while none has been heard.
 constexpr double assumed_vms = 12;
+// The holder of duties writes a record each usage window; it is replaced when
+// it is silent for so much longer.
+constexpr duration takeover_margin = std::chrono::seconds(2);
 constexpr int service_unavailable = 503;
 constexpr std::uint64_t request_memory_divisor = 4;
 constexpr std::uint64_t timeline_bytes = std::uint64_t{512} << 10;
@@ -49,6 +52,7 @@
     result.listen_address = callers->host.toString().toStdString();
     result.listen_port = callers->port;
     result.admin_port = readiness->port;
+    result.peer_port = process.first_peer_port;
     result.limits.drain_timeout = process.stop_grace;
     result.limits.idle_timeout = idle_timeout;
     if (process.memory_bytes > 0)
@@ -76,6 +80,24 @@
     options.retries.ratio = process.retry_ratio * retry_margin;
     options.retries.cap = process.retry_extra * retry_margin / assumed_vms;
     options.retries.initial = options.retries.cap;
+    options.quotas.window = process.quota_window;
+    options.quotas.overshoot = process.quota_overshoot;
+    options.quotas.slack = process.quota_slack;
+    options.usage_window = process.usage_window;
+}
+
+fleet_duties_options duties_of(platform::process_settings const& process,
+                               std::uint64_t incarnation)
+{
+    fleet_duties_options options;
+    options.enabled = !process.cloud_endpoint.empty();
+    options.log.vm = process.vm;
+    options.log.incarnation = incarnation;
+    options.log.lease = process.lease;
+    options.log.takeover =
+        std::max(process.usage_window, process.lease) + takeover_margin;
+    options.log.report_due = process.usage_due;
+    return options;
 }
 
 } // namespace amarantharch
--- a/src/app/platform_mode.hpp
+++ b/src/app/platform_mode.hpp
@@ -3,6 +3,7 @@
 #define AMARANTHARCH_APP_PLATFORM_MODE_HPP
 
 #include "app/settings.hpp"
+#include "core/fleet_duties.hpp"
 #include "core/request_path.hpp"
 #include "platform/settings_file.hpp"
 
@@ -20,6 +21,9 @@
 void apply_platform(platform::process_settings const& process,
                     request_path_options& options);
 
+fleet_duties_options duties_of(platform::process_settings const& process,
+                               std::uint64_t incarnation);
+
 } // namespace amarantharch
 
 #endif
--- a/src/app/server.cpp
+++ b/src/app/server.cpp
@@ -32,6 +32,8 @@
 // On the platform: a stopping VM takes requests until the balancer has missed
 // its readiness twice, a second apart.
 constexpr std::chrono::milliseconds platform_listen_grace{3'000};
+// Between a VM's messages about usage; quotas err by what is admitted meanwhile.
+constexpr duration platform_usage_interval = std::chrono::milliseconds(300);
 // An attempt's connection; the upstreams are 3 ms away.
 constexpr duration platform_connect_timeout = std::chrono::milliseconds(300);
 // The upstreams' connections are limited over all VMs.
@@ -98,6 +100,8 @@
     if (options.platform_process)
     {
         apply_platform(*options.platform_process, result.requests);
+        result.duties = duties_of(*options.platform_process, incarnation);
+        result.usage_interval = platform_usage_interval;
     }
     return result;
 }
@@ -254,6 +258,14 @@
 
 absl::Status server::start_peers()
 {
+    if (options_.platform_process)
+    {
+        datagrams_ = std::make_unique<datagram_transport>(
+            options_.vm, [this](peer_message message)
+            { tell(peer_message_received{std::move(message)}); });
+        return datagrams_->listen(host(options_.listen_address),
+                                  options_.peer_port);
+    }
     if (options_.tls.certificate.empty())
     {
         return absl::OkStatus();
@@ -499,9 +511,34 @@
                { tell(result_of(token, result)); });
 }
 
+void server::carry_out(read_duty_log const& what)
+{
+    link_->carry_out(what);
+}
+
+void server::carry_out(append_duty_record const& what)
+{
+    link_->carry_out(what);
+}
+
+void server::carry_out(report_usage const& what)
+{
+    link_->carry_out(what);
+}
+
+void server::carry_out(order_upstreams const& what)
+{
+    link_->carry_out(what);
+}
+
 void server::carry_out(send_to_peer const& what)
 {
     member const* const to = node_.control().members().find(what.message.vm);
+    if (datagrams_ && to != nullptr)
+    {
+        datagrams_->send(to->address, what.message);
+        return;
+    }
     if (!peers_ || to == nullptr || to->address.empty())
     {
         return;
--- a/src/app/server.hpp
+++ b/src/app/server.hpp
@@ -13,6 +13,7 @@
 #include "app/settings.hpp"
 #include "app/timeline.hpp"
 #include "core/node.hpp"
+#include "net/datagram_transport.hpp"
 #include "net/engine_client.hpp"
 #include "net/http_client.hpp"
 #include "net/http_server.hpp"
@@ -85,6 +86,10 @@
     void carry_out(send_append const& what);
     void carry_out(send_read const& what);
     void carry_out(send_to_peer const& what);
+    void carry_out(read_duty_log const& what);
+    void carry_out(append_duty_record const& what);
+    void carry_out(report_usage const& what);
+    void carry_out(order_upstreams const& what);
     void carry_out(record_timeline const& what);
     caller_row take_caller(request_id const& request);
 
@@ -114,6 +119,7 @@
     timeline timeline_;
     std::unique_ptr<log_transport> log_;        // null: no log configured
     std::unique_ptr<peer_transport> peers_;     // null: no certificates
+    std::unique_ptr<datagram_transport> datagrams_; // null: not on the platform
     std::unique_ptr<platform_client> platform_; // null: none configured
     // Null unless the VM runs on the users' platform.
     std::unique_ptr<platform::platform_link> link_;
--- a/src/core/command.hpp
+++ b/src/core/command.hpp
@@ -54,6 +54,13 @@
     peer_message message;
 };
 
+// To be sent with the fence, which the platform compares.
+struct order_upstreams
+{
+    upstream_order order;
+    fence_number fence = 0;
+};
+
 // One line of the time line.
 struct record_timeline
 {
@@ -65,7 +72,8 @@
 using command =
     std::variant<start_attempt, cancel_attempt, answer_head, answer_piece,
                  answer_end, answer_refusal, send_append, send_read,
-                 send_to_peer, record_timeline>;
+                 send_to_peer, read_duty_log, append_duty_record, report_usage,
+                 order_upstreams, record_timeline>;
 
 using command_sink = std::function<void(command)>;
 
--- /dev/null
+++ b/src/core/duty_log.cpp
@@ -0,0 +1,299 @@
+#include "core/duty_log.hpp"
+
+#include "core/bounded_unpack.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace amarantharch
+{
+
+namespace
+{
+
+// Windows that a new holder reports again, and that are remembered.
+constexpr std::size_t repeated_windows = 2;
+constexpr std::size_t remembered_windows = 16;
+
+std::uint8_t kind_value(duty_record_kind kind)
+{
+    return static_cast<std::uint8_t>(kind);
+}
+
+std::optional<duty_record> decode(std::string_view bytes)
+{
+    try
+    {
+        return bounded_unpack(bytes).get().as<duty_record>();
+    }
+    catch (std::exception const&)
+    {
+        return std::nullopt; // not one of ours: it has no effect
+    }
+}
+
+std::string encode(duty_record const& record)
+{
+    msgpack::sbuffer buffer;
+    msgpack::pack(buffer, record);
+    return {buffer.data(), buffer.size()};
+}
+
+} // namespace
+
+void duty_log::tick(time_point now, bool watches, bool orders_wanted,
+                    usage_windows const& usage, duty_sink const& emit)
+{
+    if (outstanding_ || now < due_)
+    {
+        return;
+    }
+    if (!holds())
+    {
+        if (watches)
+        {
+            watch(now, emit);
+        }
+        return;
+    }
+    if (!caught_up_)
+    {
+        outstanding_ = true;
+        emit(read_duty_log{position_});
+        return;
+    }
+    if (send_report(now, emit))
+    {
+        return;
+    }
+    if (auto const window = next_window(now, usage))
+    {
+        duty_record record;
+        record.kind = kind_value(duty_record_kind::usage);
+        record.window = *window;
+        record.counts = usage.total(*window);
+        append(now, std::move(record), emit);
+    }
+    else if (orders_wanted && !may_order(now))
+    {
+        append_order(now, emit);
+    }
+}
+
+void duty_log::append_order(time_point now, duty_sink const& emit)
+{
+    duty_record record;
+    record.kind = kind_value(duty_record_kind::order);
+    append(now, std::move(record), emit);
+}
+
+// Reads what is new, and claims when the holder has been silent for too long.
+void duty_log::watch(time_point now, duty_sink const& emit)
+{
+    bool const silent =
+        !any_record_ || now - record_seen_ >= options_.takeover;
+    if (caught_up_ && silent)
+    {
+        duty_record record;
+        record.kind = kind_value(duty_record_kind::claim);
+        append(now, std::move(record), emit);
+        return;
+    }
+    outstanding_ = true;
+    due_ = now + options_.watch_interval;
+    emit(read_duty_log{position_});
+}
+
+void duty_log::append(time_point now, duty_record record, duty_sink const& emit)
+{
+    record.vm = options_.vm;
+    record.incarnation = options_.incarnation;
+    outstanding_ = true;
+    append_sent_ = now;
+    std::string bytes = encode(record);
+    appending_ = std::move(record);
+    emit(append_duty_record{std::move(bytes), position_});
+}
+
+bool duty_log::send_report(time_point now, duty_sink const& emit)
+{
+    if (unsent_.empty() || now < unsent_.front().due)
+    {
+        return false;
+    }
+    if (!may_order(now)) // sending is an act, and the record is too old
+    {
+        append_order(now, emit);
+        return true;
+    }
+    outstanding_ = true;
+    emit(unsent_.front().report);
+    return true;
+}
+
+// The oldest window that is to be reported now.
+std::optional<window_number>
+duty_log::next_window(time_point now, usage_windows const& usage) const
+{
+    window_number const present = usage.window_at(now);
+    constexpr auto kept = static_cast<window_number>(usage_windows::kept_windows);
+    for (window_number w = present - kept; w < present; ++w)
+    {
+        time_point const end = usage.end_of(w);
+        bool const due = now >= end + options_.report_delay &&
+                         now < end + options_.report_due;
+        if (due && !reported_.contains(w))
+        {
+            return w;
+        }
+    }
+    return std::nullopt;
+}
+
+void duty_log::on_read(time_point now, duty_batch const& batch)
+{
+    outstanding_ = false;
+    duty_offset offset = batch.from;
+    for (std::string const& bytes : batch.records)
+    {
+        if (offset >= position_)
+        {
+            any_record_ = true;
+            record_seen_ = now;
+            if (auto const record = decode(bytes))
+            {
+                apply(now, offset, *record);
+            }
+            position_ = offset + 1;
+        }
+        ++offset;
+    }
+    caught_up_ = position_ >= batch.end;
+    due_ = caught_up_ && !holds() ? now + options_.watch_interval : now;
+    if (caught_up_ && !any_record_)
+    {
+        due_ = now; // an empty log: nobody holds the duties
+    }
+}
+
+void duty_log::on_read_gone(duty_offset first_retained)
+{
+    outstanding_ = false;
+    caught_up_ = false;
+    position_ = std::max(position_ + 1, first_retained);
+}
+
+void duty_log::on_read_failed(time_point now)
+{
+    outstanding_ = false;
+    caught_up_ = false;
+    due_ = now + options_.retry_interval;
+}
+
+void duty_log::apply(time_point now, duty_offset offset,
+                     duty_record const& record)
+{
+    if (record.kind == kind_value(duty_record_kind::claim))
+    {
+        holder_ = holder_row{record.vm, record.incarnation, offset + 1};
+        unsent_.clear();
+        stored_sent_.reset();
+        if (holds())
+        {
+            repeat_reports(now);
+        }
+        return;
+    }
+    if (record.kind == kind_value(duty_record_kind::usage))
+    {
+        reported_[record.window] = record.counts;
+        while (reported_.size() > remembered_windows)
+        {
+            reported_.erase(reported_.begin());
+        }
+        if (holds())
+        {
+            unsent_.push_back(
+                {{record.window, record.counts, holder_->fence}, now});
+        }
+    }
+}
+
+// The holder before may have recorded these and not sent them.
+void duty_log::repeat_reports(time_point now)
+{
+    std::size_t const count = std::min(repeated_windows, reported_.size());
+    auto row = std::prev(reported_.end(), static_cast<std::ptrdiff_t>(count));
+    for (; row != reported_.end(); ++row)
+    {
+        unsent_.push_back({{row->first, row->second, holder_->fence}, now});
+    }
+}
+
+void duty_log::on_append(time_point now,
+                         absl::StatusOr<duty_offset> const& stored)
+{
+    outstanding_ = false;
+    auto const record = std::exchange(appending_, std::nullopt);
+    if (!stored.ok() || !record || *stored != position_)
+    {
+        caught_up_ = false;
+        due_ = absl::IsFailedPrecondition(stored.status())
+                   ? now
+                   : now + options_.retry_interval;
+        return;
+    }
+    position_ = *stored + 1;
+    any_record_ = true;
+    record_seen_ = now;
+    due_ = now;
+    apply(now, *stored, *record);
+    stored_sent_ = append_sent_;
+}
+
+void duty_log::on_reported(time_point now, window_number window,
+                           absl::Status const& status)
+{
+    outstanding_ = false;
+    if (unsent_.empty() || unsent_.front().report.window != window)
+    {
+        return;
+    }
+    if (absl::IsAborted(status))
+    {
+        on_fenced();
+        return;
+    }
+    if (status.ok() || absl::IsInternal(status))
+    {
+        unsent_.pop_front();
+        return;
+    }
+    unsent_.front().due = now + options_.retry_interval;
+}
+
+void duty_log::on_fenced()
+{
+    holder_.reset();
+    caught_up_ = false;
+    unsent_.clear();
+    stored_sent_.reset();
+}
+
+std::optional<fence_number> duty_log::may_order(time_point now) const
+{
+    bool const fresh =
+        stored_sent_ && now - *stored_sent_ <= options_.act_within;
+    return holds() && fresh ? std::optional(holder_->fence) : std::nullopt;
+}
+
+std::string duty_log::describe() const
+{
+    return holder_ ? fmt::format("holder={} fence={}", holder_->vm,
+                                 holder_->fence)
+                   : std::string("holder=none");
+}
+
+} // namespace amarantharch
--- /dev/null
+++ b/src/core/duty_log_test.cpp
@@ -0,0 +1,252 @@
+#include "core/duty_log.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+namespace amarantharch
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+duration const window = seconds(5);
+time_point const start = from_micros(1'000'000'000);
+
+// An act at the platform, as it arrives there.
+struct act
+{
+    time_point at;
+    std::string vm;
+    fence_number fence;
+    window_number window;
+    organisation_counts counts;
+};
+
+// A log with conditional appends and a platform that refuses low fences.
+struct world
+{
+    std::vector<std::string> records;
+    std::vector<act> accepted;
+    fence_number highest = 0;
+    time_point now = start;
+};
+
+struct vm
+{
+    vm(world& around, std::string name) : name_(std::move(name)), world_(around)
+    {
+        duty_log_options options;
+        options.vm = name_;
+        options.incarnation = 1;
+        log = std::make_unique<duty_log>(options);
+    }
+
+    void step()
+    {
+        if (stopped)
+        {
+            return;
+        }
+        log->tick(world_.now, true, false, usage,
+                  [this](duty_request const& what)
+                  { std::visit([this](auto const& r) { answer(r); }, what); });
+    }
+
+    void answer(read_duty_log const& what)
+    {
+        duty_batch batch{what.from, world_.records.size(), {}};
+        batch.records.assign(world_.records.begin() +
+                                 static_cast<std::ptrdiff_t>(what.from),
+                             world_.records.end());
+        log->on_read(world_.now, batch);
+    }
+
+    void answer(append_duty_record const& what)
+    {
+        if (what.at != world_.records.size())
+        {
+            log->on_append(world_.now, absl::FailedPreconditionError("end"));
+            return;
+        }
+        world_.records.push_back(what.record);
+        if (loses_answer)
+        {
+            loses_answer = false;
+            log->on_append(world_.now, absl::UnknownError("timeout"));
+            return;
+        }
+        log->on_append(world_.now, what.at);
+    }
+
+    void answer(report_usage const& what)
+    {
+        if (what.fence < world_.highest)
+        {
+            log->on_reported(world_.now, what.window,
+                             absl::AbortedError("fence"));
+            return;
+        }
+        world_.highest = what.fence;
+        world_.accepted.push_back(
+            {world_.now, name_, what.fence, what.window, what.counts});
+        log->on_reported(world_.now, what.window, absl::OkStatus());
+    }
+
+    std::string name_;
+    world& world_;
+    usage_windows usage{window};
+    std::unique_ptr<duty_log> log;
+    bool stopped = false;
+    bool loses_answer = false;
+};
+
+struct fleet
+{
+    explicit fleet(int count)
+    {
+        for (int i = 0; i < count; ++i)
+        {
+            vms.push_back(std::make_unique<vm>(around, std::to_string(i)));
+        }
+    }
+
+    void run(duration span)
+    {
+        for (time_point const end = around.now + span; around.now < end;
+             around.now += milliseconds(50))
+        {
+            for (auto const& each : vms)
+            {
+                each->step();
+            }
+        }
+    }
+
+    vm& holder()
+    {
+        return **std::find_if(vms.begin(), vms.end(), [](auto const& each)
+                              { return each->log->holds(); });
+    }
+
+    world around;
+    std::vector<std::unique_ptr<vm>> vms;
+};
+
+// Acts of two holders lie at least a lease apart wherever they alternate.
+bool alternates_within(std::vector<act> const& acts, duration lease)
+{
+    for (std::size_t i = 0; i < acts.size(); ++i)
+    {
+        for (std::size_t k = i + 1; k < acts.size(); ++k)
+        {
+            for (std::size_t m = k + 1; m < acts.size(); ++m)
+            {
+                if (acts[i].vm == acts[m].vm && acts[k].vm != acts[i].vm &&
+                    acts[m].at - acts[i].at < lease)
+                {
+                    return true;
+                }
+            }
+        }
+    }
+    return false;
+}
+
+std::size_t windows_reported(std::vector<act> const& acts)
+{
+    std::map<window_number, organisation_counts> seen;
+    for (act const& a : acts)
+    {
+        auto const [place, added] = seen.emplace(a.window, a.counts);
+        BOOST_TEST((added || place->second == a.counts));
+    }
+    return seen.size();
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(the_duty_log)
+
+BOOST_AUTO_TEST_CASE(gives_the_duties_to_one_vm)
+{
+    fleet all(3);
+    all.run(seconds(20));
+    auto const holders = std::count_if(
+        all.vms.begin(), all.vms.end(),
+        [](auto const& each) { return each->log->holds(); });
+    BOOST_TEST(holders == 1);
+    BOOST_TEST(windows_reported(all.around.accepted) >= 3u);
+}
+
+BOOST_AUTO_TEST_CASE(reports_each_window_in_time)
+{
+    fleet all(3);
+    all.run(seconds(41));
+    for (act const& a : all.around.accepted)
+    {
+        time_point const end = all.vms.front()->usage.end_of(a.window);
+        BOOST_TEST((a.at >= end && a.at < end + seconds(10)));
+    }
+}
+
+BOOST_AUTO_TEST_SUITE(when_the_holder)
+
+BOOST_AUTO_TEST_CASE(dies_another_goes_on_and_misses_no_window)
+{
+    fleet all(3);
+    all.run(seconds(21));
+    all.holder().stopped = true;
+    all.holder().log = std::make_unique<duty_log>(duty_log_options{});
+    all.run(seconds(30));
+    BOOST_TEST(windows_reported(all.around.accepted) >= 9u);
+    BOOST_TEST(!alternates_within(all.around.accepted, seconds(3)));
+}
+
+BOOST_AUTO_TEST_CASE(freezes_and_wakes_it_does_not_act_between_the_others)
+{
+    for (int frozen_ms = 500; frozen_ms < 20'000; frozen_ms += 700)
+    {
+        fleet all(3);
+        all.run(seconds(21) + milliseconds(frozen_ms));
+        vm& first = all.holder();
+        first.stopped = true;
+        all.run(milliseconds(frozen_ms));
+        first.stopped = false;
+        all.run(seconds(20));
+        BOOST_TEST(!alternates_within(all.around.accepted, seconds(3)));
+        windows_reported(all.around.accepted);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(does_not_learn_that_its_record_was_stored)
+{
+    fleet all(2);
+    all.run(seconds(11));
+    vm& first = all.holder();
+    first.loses_answer = true;
+    all.run(seconds(21));
+    BOOST_TEST(windows_reported(all.around.accepted) >= 5u);
+    BOOST_TEST(first.log->holds());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_CASE(forgets_a_fence_that_was_refused)
+{
+    fleet all(1);
+    all.run(seconds(2));
+    BOOST_TEST(all.vms.front()->log->holds());
+    all.vms.front()->log->on_fenced();
+    BOOST_TEST(!all.vms.front()->log->holds());
+    BOOST_TEST(!all.vms.front()->log->may_order(all.around.now));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace amarantharch
--- a/src/core/event.hpp
+++ b/src/core/event.hpp
@@ -3,6 +3,8 @@
 #define AMARANTHARCH_CORE_EVENT_HPP
 
 #include "core/call.hpp"
+#include "core/capacity_plan.hpp"
+#include "core/duty_log.hpp"
 #include "core/log_client.hpp"
 #include "core/membership.hpp"
 #include "core/peer_message.hpp"
@@ -108,6 +110,40 @@
     std::string upstream;
 };
 
+// Answers to the commands of the fleet's duties.
+struct duty_log_read
+{
+    duty_batch batch;
+};
+
+// Records that were to be read have been deleted.
+struct duty_log_gone
+{
+    duty_offset first_retained = 0;
+};
+
+struct duty_log_failed
+{
+};
+
+struct duty_record_appended
+{
+    absl::StatusOr<duty_offset> stored;
+};
+
+struct usage_reported
+{
+    window_number window = 0;
+    absl::Status status;
+};
+
+struct order_answered
+{
+    upstream_order order;
+    absl::Status status;
+    bool refused_for_fence = false;
+};
+
 // This VM is to stop by `deadline`: reclaim notice, SIGTERM or drain command.
 struct stop_requested
 {
@@ -119,7 +155,9 @@
                  upstream_end, upstream_failed, ticked, log_result,
                  peer_message_received, members_listed, upstream_reported,
                  upstream_leaving_seen, site_read, upstream_listed,
-                 upstream_unlisted, stop_requested>;
+                 upstream_unlisted, duty_log_read, duty_log_gone,
+                 duty_log_failed, duty_record_appended, usage_reported,
+                 order_answered, stop_requested>;
 
 } // namespace amarantharch
 
--- /dev/null
+++ b/src/core/fleet_duties.cpp
@@ -0,0 +1,115 @@
+#include "core/fleet_duties.hpp"
+
+#include <fmt/format.h>
+
+#include <utility>
+
+namespace amarantharch
+{
+
+namespace
+{
+
+// "subject=... count=..." of an order, for the time line.
+std::string describe(upstream_order const& order)
+{
+    return fmt::format("service={} failure_domain={} reclaimable={} count={}",
+                       order.service, order.failure_domain, order.reclaimable,
+                       order.count);
+}
+
+} // namespace
+
+void fleet_duties::tick(time_point now, bool watches, request_path& requests)
+{
+    if (!options_.enabled)
+    {
+        return;
+    }
+    std::vector<upstream_order> orders;
+    if (log_.holds())
+    {
+        orders = plan_.due(now, requests.tables(), requests.upstreams());
+    }
+    log_.tick(now, watches, !orders.empty(), requests.begun(),
+              [this](duty_request const& what)
+              { std::visit([this](auto const& r) { emit_(r); }, what); });
+    auto const fence = log_.may_order(now);
+    for (upstream_order const& order : orders)
+    {
+        if (fence)
+        {
+            plan_.sent(now, order);
+            emit_(order_upstreams{order, *fence});
+            emit_(record_timeline{
+                "upstreams_ordered", "",
+                fmt::format("{} fence={}", describe(order), *fence)});
+        }
+    }
+    note_change();
+}
+
+void fleet_duties::note_change()
+{
+    if (std::exchange(held_, log_.holds()) == log_.holds())
+    {
+        return;
+    }
+    plan_.forget();
+    emit_(record_timeline{held_ ? "duties_won" : "duties_lost", "",
+                          log_.describe()});
+}
+
+void fleet_duties::handle(time_point now, duty_log_read const& what)
+{
+    log_.on_read(now, what.batch);
+    note_change();
+}
+
+void fleet_duties::handle(time_point, duty_log_gone const& what)
+{
+    log_.on_read_gone(what.first_retained);
+}
+
+void fleet_duties::handle(time_point now, duty_log_failed const&)
+{
+    log_.on_read_failed(now);
+}
+
+void fleet_duties::handle(time_point now, duty_record_appended const& what)
+{
+    log_.on_append(now, what.stored);
+    note_change();
+}
+
+void fleet_duties::handle(time_point now, usage_reported const& what)
+{
+    emit_(record_timeline{
+        "usage_reported", "",
+        fmt::format("window={} outcome=\"{}\"", what.window,
+                    what.status.ok() ? std::string("accepted")
+                                     : std::string(what.status.message()))});
+    log_.on_reported(now, what.window, what.status);
+    note_change();
+}
+
+void fleet_duties::handle(time_point, order_answered const& what)
+{
+    bool const fenced =
+        absl::IsAborted(what.status) && what.refused_for_fence;
+    if (!what.status.ok())
+    {
+        emit_(record_timeline{
+            "order_failed", "",
+            fmt::format("{} fenced={} reason=\"{}\"", describe(what.order),
+                        fenced, std::string(what.status.message()))});
+    }
+    plan_.answered(what.order, what.status.ok());
+    if (fenced)
+    {
+        log_.on_fenced();
+        note_change();
+    }
+}
+
+} // namespace amarantharch
--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -5,6 +5,14 @@
 namespace amarantharch
 {
 
+namespace
+{
+
+// VMs that look after the holder of the fleet's duties.
+constexpr std::size_t duty_watchers = 3;
+
+} // namespace
+
 node::node(node_options options, command_sink const& emit)
     : options_(std::move(options)),
       control_(options_.control, emit, control_handlers()),
@@ -12,10 +20,12 @@
                 [this](std::string payload)
                 { append_request_record(std::move(payload)); }),
       exchange_({options_.control.vm, options_.control.failure_domain,
-                 options_.control.incarnation},
-                emit)
+                 options_.control.incarnation, options_.usage_interval},
+                emit),
+      duties_(options_.duties, emit)
 {
-    requests_.set_site(std::make_shared<site>(options_.settings_site));
+    requests_.set_site(time_point(),
+                       std::make_shared<site>(options_.settings_site));
     requests_.requests_ledger().set_reachable({}, options_.control.uses_log);
 }
 
@@ -36,7 +46,7 @@
     };
     handlers.configured = [this](time_point now, configuration const& tables)
     {
-        requests_.set_site(std::make_shared<site>(site_of(tables)));
+        requests_.set_site(now, std::make_shared<site>(site_of(tables)));
         requests_.moves().configure(now, tables);
     };
     handlers.member_changed = [this](time_point now, member_change const& what)
@@ -67,6 +77,8 @@
     control_.tick(now);
     requests_.tick(now);
     exchange_.tick(now, control_.members(), requests_);
+    duties_.tick(now, control_.members().is_among("duties", duty_watchers),
+                 requests_);
     bool const is_mover = control_.members().is_among("mover", 1);
     for (std::string& record : requests_.moves().tick(now, is_mover))
     {
@@ -106,9 +118,9 @@
     exchange_.upstream_leaving(what.upstream, requests_);
 }
 
-void node::on(time_point, site_read const& what)
+void node::on(time_point now, site_read const& what)
 {
-    requests_.set_site(what.tables);
+    requests_.set_site(now, what.tables);
 }
 
 void node::on(time_point now, stop_requested const& what)
--- a/src/core/node.hpp
+++ b/src/core/node.hpp
@@ -18,6 +18,7 @@
 #include "core/command.hpp"
 #include "core/control_plane.hpp"
 #include "core/event.hpp"
+#include "core/fleet_duties.hpp"
 #include "core/peer_exchange.hpp"
 #include "core/request_path.hpp"
 #include "core/site.hpp"
@@ -36,6 +37,9 @@
 {
     request_path_options requests;
     control_plane_options control;
+    fleet_duties_options duties;
+    // Between messages to peers about usage.
+    duration usage_interval = std::chrono::seconds(1);
     // In force until a configuration revision is known.
     site settings_site;
 };
@@ -84,6 +88,30 @@
     void on(time_point now, upstream_reported const& what);
     void on(time_point now, upstream_leaving_seen const& what);
     void on(time_point now, site_read const& what);
+    void on(time_point now, duty_log_read const& what)
+    {
+        duties_.handle(now, what);
+    }
+    void on(time_point now, duty_log_gone const& what)
+    {
+        duties_.handle(now, what);
+    }
+    void on(time_point now, duty_log_failed const& what)
+    {
+        duties_.handle(now, what);
+    }
+    void on(time_point now, duty_record_appended const& what)
+    {
+        duties_.handle(now, what);
+    }
+    void on(time_point now, usage_reported const& what)
+    {
+        duties_.handle(now, what);
+    }
+    void on(time_point now, order_answered const& what)
+    {
+        duties_.handle(now, what);
+    }
     void on(time_point now, stop_requested const& what);
 
     control_plane_handlers control_handlers();
@@ -94,6 +122,7 @@
     control_plane control_;
     request_path requests_;
     peer_exchange exchange_;
+    fleet_duties duties_;
 };
 
 } // namespace amarantharch
--- a/src/core/peer_exchange.cpp
+++ b/src/core/peer_exchange.cpp
@@ -36,6 +36,14 @@
     {
         requests.moves().merge(now, row);
     }
+    for (quota_report const& row : update->spent)
+    {
+        requests.quotas().merge(now, row);
+    }
+    for (window_counts const& row : update->began)
+    {
+        requests.begun().merge(now, row);
+    }
     for (std::string const& upstream : update->leaving)
     {
         upstream_leaving(upstream, requests);
@@ -82,7 +90,17 @@
         usage.usage = requests.usage(options_.vm, options_.incarnation);
         usage.evidence =
             requests.moves().evidence(options_.vm, options_.incarnation);
-        if (!usage.usage.empty() || !usage.evidence.empty())
+        quota_report spent =
+            requests.quotas().report(options_.vm, options_.incarnation);
+        usage.began = requests.begun().report(now, options_.vm,
+                                              options_.incarnation);
+        bool const counts = !spent.spent.empty();
+        if (counts)
+        {
+            usage.spent.push_back(std::move(spent));
+        }
+        if (counts || !usage.began.empty() || !usage.usage.empty() ||
+            !usage.evidence.empty())
         {
             send(next_peers(members, options_.usage_fanout), usage);
         }
--- a/src/core/peer_update.hpp
+++ b/src/core/peer_update.hpp
@@ -7,6 +7,8 @@
 
 #include "core/admission.hpp"
 #include "core/quarantine.hpp"
+#include "core/shared_quota.hpp"
+#include "core/usage_windows.hpp"
 #include "core/version_move.hpp"
 
 #include <absl/status/statusor.h>
@@ -35,7 +37,10 @@
     std::vector<std::string> leaving;     // names of upstreams
     std::vector<std::string> handed_over; // ledger records to be appended
     std::vector<move_evidence> evidence;  // of version moves
-    MSGPACK_DEFINE(usage, quarantined, leaving, handed_over, evidence)
+    std::vector<quota_report> spent;      // of quotas; one row at most
+    std::vector<window_counts> began;     // requests, by windows
+    MSGPACK_DEFINE(usage, quarantined, leaving, handed_over, evidence, spent,
+                   began)
 };
 
 std::string encode(peer_update const& update);
--- a/src/core/request_attempts.cpp
+++ b/src/core/request_attempts.cpp
@@ -285,6 +285,10 @@
                                 upstream_head const& what)
 {
     r.run = verdict::ran;
+    if (!std::exchange(r.begun, true))
+    {
+        begun_.began(now, r.organisation);
+    }
     retries_.on_first_byte(r.route.service, now - r.attempt_started);
     if (!r.relay)
     {
--- a/src/core/request_endings.cpp
+++ b/src/core/request_endings.cpp
@@ -92,6 +92,10 @@
             static_cast<std::uint32_t>(r.answer_bytes / bytes_per_token));
         admission_of(r.route.service).on_end(now, r.request.id, tokens);
     }
+    if (r.run == verdict::not_run)
+    {
+        quotas_.refund(r.organisation, r.quota_units);
+    }
     held_bytes_ -= r.request.body.size();
     rows_.erase(request_id(r.request.id));
 }
--- a/src/core/request_path.cpp
+++ b/src/core/request_path.cpp
@@ -17,6 +17,7 @@
 constexpr duration accepted_retry_after = std::chrono::seconds(1);
 // A request that may not end before the VM stops is not taken any more.
 constexpr duration stop_margin = std::chrono::milliseconds(500);
+constexpr int too_many_requests = 429;
 constexpr std::uint32_t default_output_tokens = 128;
 constexpr std::string_view inquiry_prefix = "/v1/requests/";
 
@@ -52,7 +53,8 @@
     : options_(std::move(options)), emit_(std::move(emit)),
       append_(std::move(append)), site_(std::make_shared<site>()),
       router_(options_.routing), retries_(options_.retries),
-      outliers_(options_.outliers), quarantine_(options_.quarantined),
+      outliers_(options_.outliers), quotas_(options_.quotas),
+      begun_(options_.usage_window), quarantine_(options_.quarantined),
       crashes_(options_.crash_window),
       ledger_(
           ledger_options_of(options_), [this](ledger_effect const& effect)
@@ -60,7 +62,8 @@
 {
 }
 
-void request_path::set_site(std::shared_ptr<site const> tables)
+void request_path::set_site(time_point now,
+                            std::shared_ptr<site const> tables)
 {
     std::vector<std::string> kept;
     for (upstream_spec const& spec : tables->upstreams)
@@ -76,6 +79,10 @@
         }
     }
     site_ = std::move(tables);
+    for (organisation_spec const& organisation : site_->organisations)
+    {
+        quotas_.configure(now, organisation.name, organisation.quota);
+    }
     for (auto& [service, gate] : admissions_)
     {
         for (organisation_spec const& organisation : site_->organisations)
@@ -265,7 +272,51 @@
         submit(now, r, true);
         return;
     }
-    admit(now, r);
+    if (spend_quota(now, r))
+    {
+        admit(now, r);
+    }
+}
+
+// Withdraws the request from its organisation's quota; false if it is refused.
+bool request_path::spend_quota(time_point now, row& r)
+{
+    for (organisation_spec const& organisation : site_->organisations)
+    {
+        if (organisation.name != r.organisation)
+        {
+            continue;
+        }
+        double const units = units_of(r, organisation.quota);
+        quota_decision const decision =
+            quotas_.spend(now, r.organisation, units);
+        if (!decision.allowed)
+        {
+            note("quota_exceeded", r.request.id,
+                 fmt::format("organisation={} units={} level={:.0f} "
+                             "unheard={:.0f} share={:.2f} rate={} burst={}",
+                             r.organisation, units, decision.level,
+                             decision.unheard, decision.share,
+                             organisation.quota.rate_per_second,
+                             organisation.quota.burst));
+            refuse(now, r, too_many_requests, "quota_exceeded",
+                   decision.retry_after);
+            return false;
+        }
+        r.quota_units = units;
+    }
+    return true;
+}
+
+double request_path::units_of(row const& r, quota_spec const& quota)
+{
+    if (!quota.counts_tokens)
+    {
+        return 1;
+    }
+    auto const& size = r.request.terms.size;
+    return size ? static_cast<double>(size->prompt) + size->most_output
+                : quota.unsized_request_tokens;
 }
 
 void request_path::answer_inquiry(time_point now, call const& request,
--- a/src/core/request_path.hpp
+++ b/src/core/request_path.hpp
@@ -33,9 +33,11 @@
 #include "core/quarantine.hpp"
 #include "core/retry_budget.hpp"
 #include "core/routing.hpp"
+#include "core/shared_quota.hpp"
 #include "core/site.hpp"
 #include "core/stream_relay.hpp"
 #include "core/upstream_table.hpp"
+#include "core/usage_windows.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -81,6 +83,9 @@
     double engine_prefill_tokens_per_ms = 10;
     // The answer where no attempt was run and none may follow.
     int unrun_status = 502;
+    shared_quota_options quotas;
+    // Length of the windows that usage is counted in; 0: it is not.
+    duration usage_window{};
     // Upstreams are taken for crashed only if at least so many connections
     // were lost together.
     std::size_t crash_quorum = 1;
@@ -97,7 +102,7 @@
                  record_appender append);
 
     // Decides by `tables` from now on; requests in progress keep their route.
-    void set_site(std::shared_ptr<site const> tables);
+    void set_site(time_point now, std::shared_ptr<site const> tables);
 
     // The tables in force.
     site const& tables() const
@@ -162,6 +167,18 @@
     {
         return moves_;
     }
+    shared_quota& quotas()
+    {
+        return quotas_;
+    }
+    usage_windows& begun()
+    {
+        return begun_;
+    }
+    upstream_table const& upstreams() const
+    {
+        return upstreams_;
+    }
     quarantine& crashes()
     {
         return quarantine_;
@@ -220,6 +237,8 @@
         time_point attempt_started;
         std::uint32_t attempts = 0;
         std::uint8_t urgency = 0; // 0 first; see attempt_terms
+        double quota_units = 0;   // withdrawn from the organisation's quota
+        bool begun = false;       // an upstream has begun to run it
         std::vector<upstream_index> tried;
         verdict run = verdict::not_run; // of all ended attempts, combined
         std::uint64_t answer_bytes = 0;
@@ -238,6 +257,8 @@
     std::optional<refusal> refuse_early(call const& request,
                                         std::string const& organisation,
                                         route_spec const* route) const;
+    bool spend_quota(time_point now, row& r);
+    static double units_of(row const& r, quota_spec const& quota);
     void answer_inquiry(time_point now, call const& request,
                         std::string const& organisation);
     void admit(time_point now, row& r);
@@ -307,6 +328,8 @@
     retry_budget retries_;
     outlier_detector outliers_;
     move_table moves_;
+    shared_quota quotas_;
+    usage_windows begun_;
     quarantine quarantine_;
     crash_detector crashes_;
     // Upstreams that run one suspect alone: none else is sent there.
--- a/src/core/session_text.cpp
+++ b/src/core/session_text.cpp
@@ -325,7 +325,7 @@
     for (header_field const& field : headers)
     {
         out += fmt::format(" {}{}={}", header_prefix, field.name,
-                           quoted(field.value));
+                           amarantharch::quoted(field.value));
     }
     return out;
 }
@@ -335,7 +335,7 @@
     std::string operator()(start_attempt const& c) const
     {
         return fmt::format("start attempt={} request={} upstream={}{}",
-                           c.attempt, quoted(c.request.id), quoted(c.upstream),
+                           c.attempt, amarantharch::quoted(c.request.id), amarantharch::quoted(c.upstream),
                            text_of(c.request.headers));
     }
     std::string operator()(cancel_attempt const& c) const
@@ -345,23 +345,23 @@
     std::string operator()(answer_head const& c) const
     {
         return fmt::format("answer_head request={} status={}{}",
-                           quoted(c.request), c.status, text_of(c.headers));
+                           amarantharch::quoted(c.request), c.status, text_of(c.headers));
     }
     std::string operator()(answer_piece const& c) const
     {
         return fmt::format("answer_piece request={} bytes={}",
-                           quoted(c.request), quoted(c.bytes));
+                           amarantharch::quoted(c.request), amarantharch::quoted(c.bytes));
     }
     std::string operator()(answer_end const& c) const
     {
-        return fmt::format("answer_end request={}", quoted(c.request));
+        return fmt::format("answer_end request={}", amarantharch::quoted(c.request));
     }
     std::string operator()(answer_refusal const& c) const
     {
         return fmt::format("refuse request={} status={} verdict={} reason={} "
                            "retry_after_ms={}",
-                           quoted(c.request), c.why.status, name(c.why.run),
-                           quoted(c.why.reason), to_millis(c.why.retry_after));
+                           amarantharch::quoted(c.request), c.why.status, name(c.why.run),
+                           amarantharch::quoted(c.why.reason), to_millis(c.why.retry_after));
     }
     std::string operator()(send_append const& c) const
     {
@@ -375,14 +375,35 @@
     }
     std::string operator()(send_to_peer const& c) const
     {
-        return fmt::format("send vm={} kind={}", quoted(c.message.vm),
+        return fmt::format("send vm={} kind={}", amarantharch::quoted(c.message.vm),
                            name_in(peer_message_kind_names, c.message.kind));
     }
+    std::string operator()(read_duty_log const& c) const
+    {
+        return fmt::format("read_duties from={}", c.from);
+    }
+    std::string operator()(append_duty_record const& c) const
+    {
+        return fmt::format("append_duty at={}", c.at);
+    }
+    std::string operator()(report_usage const& c) const
+    {
+        return fmt::format("report_usage window={} fence={}", c.window,
+                           c.fence);
+    }
+    std::string operator()(order_upstreams const& c) const
+    {
+        return fmt::format(
+            "order service={} failure_domain={} reclaimable={} count={} "
+            "fence={}",
+            amarantharch::quoted(c.order.service), amarantharch::quoted(c.order.failure_domain),
+            c.order.reclaimable, c.order.count, c.fence);
+    }
     std::string operator()(record_timeline const& c) const
     {
         return fmt::format("timeline kind={} request={} details={}",
-                           quoted(c.kind), quoted(c.request),
-                           quoted(c.details));
+                           amarantharch::quoted(c.kind), amarantharch::quoted(c.request),
+                           amarantharch::quoted(c.details));
     }
 };
 
--- /dev/null
+++ b/src/core/shared_quota.hpp
@@ -0,0 +1,136 @@
+// Limits what each organisation uses over all VMs, without asking anybody.
+//
+// Each VM keeps a token bucket of the whole fleet for each organisation: it
+// fills at the quota's rate up to the burst, and is emptied by what this VM
+// admits and by what the peers say they admitted. What a peer admitted since it
+// was last heard is estimated by its rate until then, and replaced by the truth
+// when it comes.
+//
+// The quota holds while VMs cannot hear each other: a peer that was silent for
+// `silence` is taken to use its share, so that this VM fills its bucket with
+// its own part of the rate only. A VM that starts begins with a small part of
+// the burst, since the bucket may just have been emptied by others.
+// Error: at most what the peers admit above their estimate between two of
+// their messages, and the unspent share of peers that are gone.
+//
+// Load it answers: one organisation sends many times its usual at all VMs.
+// Cost: O(peers) a decision; memory: peers times organisations.
+#ifndef AMARANTHARCH_CORE_SHARED_QUOTA_HPP
+#define AMARANTHARCH_CORE_SHARED_QUOTA_HPP
+
+#include "core/site.hpp"
+#include "core/time.hpp"
+
+#include <msgpack.hpp>
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace amarantharch
+{
+
+struct shared_quota_options
+{
+    // The quota is judged over any span of this length.
+    duration window = std::chrono::seconds(8);
+    // What may be used beyond it in a window: a share of it, and units besides.
+    double overshoot = 0;
+    double slack = 0;
+    // Part of that tolerance that a bucket may be overdrawn by; the rest is
+    // for what peers admit unheard.
+    double overdraft = 0.2;
+    // A bucket's content at a VM's start, as a share of the burst.
+    double initial_fill = 0.25;
+    // A peer that was not heard for so long is counted with its full share.
+    duration silence = std::chrono::milliseconds(1'500);
+    // A peer that was not heard for so long is gone.
+    duration memory = std::chrono::seconds(30);
+};
+
+// What one VM has admitted since its start; cumulative.
+struct organisation_spent
+{
+    std::string organisation;
+    double units = 0;
+    MSGPACK_DEFINE(organisation, units)
+};
+
+// Gossiped. Of one VM, the greatest (incarnation, sequence) is the newest.
+struct quota_report
+{
+    std::string vm;
+    std::uint64_t incarnation = 0;
+    std::uint64_t sequence = 0;
+    std::vector<organisation_spent> spent;
+    MSGPACK_DEFINE(vm, incarnation, sequence, spent)
+};
+
+struct quota_decision
+{
+    bool allowed = true;
+    duration retry_after{}; // if not allowed: when there is room again
+    // What decided: the bucket, what peers have probably used since they were
+    // heard, and the part of the rate that falls to those heard.
+    double level = 0;
+    double unheard = 0;
+    double share = 1;
+};
+
+class shared_quota
+{
+public:
+    explicit shared_quota(shared_quota_options options) : options_(options) {}
+
+    // The quota of an organisation from now on; a rate of 0 is no limit.
+    void configure(time_point now, std::string const& organisation,
+                   quota_spec const& quota);
+
+    // Decides on a request of `units` and, if it is allowed, withdraws them.
+    quota_decision spend(time_point now, std::string const& organisation,
+                         double units);
+
+    // Gives back what an allowed request did not use.
+    void refund(std::string const& organisation, double units);
+
+    quota_report report(std::string vm, std::uint64_t incarnation);
+    void merge(time_point now, quota_report const& peer);
+
+private:
+    struct bucket
+    {
+        quota_spec quota;
+        double level = 0;
+        double spent = 0; // by this VM
+        time_point filled_at;
+    };
+
+    struct peer_spent
+    {
+        double units = 0;
+        double rate = 0; // units a second, between its last two reports
+    };
+
+    struct peer_row
+    {
+        std::uint64_t incarnation = 0;
+        std::uint64_t sequence = 0;
+        time_point heard_at;
+        std::map<std::string, peer_spent> spent;
+    };
+
+    void fill(time_point now, bucket& b) const;
+    double own_share(time_point now) const;
+    double unheard(time_point now, std::string const& organisation) const;
+    double tolerance(quota_spec const& quota) const;
+
+    shared_quota_options options_;
+    std::map<std::string, bucket> buckets_;
+    std::map<std::string, peer_row> peers_;
+    std::uint64_t sequence_ = 0;
+};
+
+} // namespace amarantharch
+
+#endif
--- a/src/core/site.hpp
+++ b/src/core/site.hpp
@@ -11,6 +11,7 @@
 #include "core/time.hpp"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -99,12 +100,24 @@
     bool reclaimable = false;
 };
 
+// How many upstreams of a service may be ordered, and what they cost.
+struct scaling_spec
+{
+    std::string service;
+    std::uint32_t least = 0; // in each failure domain, of both kinds together
+    std::uint32_t most = 0;
+    duration boot_time{};
+    double reclaimable_price = 1;         // as a share of the others' price
+    std::map<std::string, double> prices; // by failure domain
+};
+
 struct site
 {
     bool known = true; // false: no configuration has been read yet
     std::vector<route_spec> routes;
     std::vector<organisation_spec> organisations;
     std::vector<upstream_spec> upstreams;
+    std::vector<scaling_spec> scalings = {};
 };
 
 // The route of `host` with the longest prefix of `target`, or null. Linear in
--- /dev/null
+++ b/src/core/usage_windows_test.cpp
@@ -0,0 +1,71 @@
+#include "core/usage_windows.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+namespace amarantharch
+{
+
+namespace
+{
+
+using std::chrono::seconds;
+
+duration const length = seconds(5);
+time_point const start = from_micros(1'000'000'000); // of window 200
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(usage_by_windows)
+
+BOOST_AUTO_TEST_CASE(counts_each_request_in_the_window_it_began_in)
+{
+    usage_windows usage(length);
+    BOOST_TEST(usage.window_at(start) == 200);
+    BOOST_TEST((usage.end_of(200) == start + length));
+    usage.began(start, "a");
+    usage.began(start + seconds(4), "a");
+    usage.began(start + seconds(5), "a");
+    BOOST_TEST(usage.total(200)["a"] == 2u);
+    BOOST_TEST(usage.total(201)["a"] == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(sums_what_peers_say_whatever_is_lost_or_repeated)
+{
+    usage_windows here(length);
+    usage_windows there(length);
+    here.began(start, "a");
+    there.began(start, "a");
+    auto const early = there.report(start, "there", 1);
+    there.began(start + seconds(1), "a");
+    auto const late = there.report(start + seconds(1), "there", 1);
+    for (auto const* report : {&late, &early, &late})
+    {
+        for (window_counts const& row : *report)
+        {
+            here.merge(start + seconds(1), row);
+        }
+    }
+    BOOST_TEST(here.total(200)["a"] == 3u);
+}
+
+BOOST_AUTO_TEST_CASE(counts_a_vm_that_started_again_beside_its_predecessor)
+{
+    usage_windows here(length);
+    here.merge(start, {"there", 1, 200, {{"a", 4}}});
+    here.merge(start, {"there", 2, 200, {{"a", 3}}});
+    BOOST_TEST(here.total(200)["a"] == 7u);
+}
+
+BOOST_AUTO_TEST_CASE(forgets_old_windows)
+{
+    usage_windows usage(length);
+    usage.began(start, "a");
+    usage.began(start + length * 7, "a");
+    BOOST_TEST(usage.total(200).empty());
+    usage.merge(start + length * 7, {"there", 1, 200, {{"a", 1}}});
+    BOOST_TEST(usage.total(200).empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace amarantharch
