--- a/src/core/capacity_plan.hpp
+++ b/src/core/capacity_plan.hpp
@@ -1,13 +1,17 @@
 // Decides how many upstreams of each kind run in each failure domain.
 //
 // Reclaimable upstreams cost a fraction of the others, but all of a failure
-// domain's go at once, on seconds of notice, and none may be had there for a
-// while. So the plan spreads reclaimable ones evenly over the domains, such
-// that what is left without any one domain still bears the load, and keeps a
-// few others beside them as a floor. Upstreams that are to be replaced go only
-// once their replacements serve.
+// domain's go at once, on seconds of notice, and none may be had anywhere for a
+// while. So the plan spreads them evenly over the domains, keeps a floor of
+// others beside them, and puts others in the place of reclaimable ones that are
+// missing: a reclaim costs the time that an upstream takes to start. Those
+// others go again only once the reclaimable ones are back.
 //
-// Load it answers: the reclaim of a domain while the others are in full use.
+// An order states a number that is to run, so it is repeated when fewer do:
+// after a reclaim the platform does not start them again by itself.
+//
+// Load it answers: reclaims of one domain after the other, with none to be had
+// between them.
 // Cost: O(upstreams) a decision.
 #ifndef AMARANTHARCH_CORE_CAPACITY_PLAN_HPP
 #define AMARANTHARCH_CORE_CAPACITY_PLAN_HPP
@@ -43,6 +47,9 @@
     std::uint32_t others_each = 1;
     // Between two attempts at an order that was not accepted.
     duration retry_interval = std::chrono::seconds(2);
+    // How long after its boot time an upstream that was ordered counts as one
+    // that serves; then it is missing.
+    duration entry_time = std::chrono::seconds(3);
 };
 
 class capacity_plan
@@ -58,7 +65,7 @@
 
     // An order was sent; its answer comes later.
     void sent(time_point now, upstream_order const& order);
-    void answered(upstream_order const& order, bool accepted);
+    void answered(time_point now, upstream_order const& order, bool accepted);
 
     // Another VM may have given orders meanwhile.
     void forget();
@@ -69,15 +76,21 @@
     struct row
     {
         std::optional<std::uint32_t> accepted;
+        time_point accepted_at{};
         time_point next_try{};
     };
 
+
     static subject subject_of(upstream_order const& order)
     {
         return {order.service, order.failure_domain, order.reclaimable};
     }
 
-    bool is_due(time_point now, upstream_order const& order) const;
+    bool is_due(time_point now, upstream_order const& order,
+                std::uint32_t serving, duration boot_time) const;
+    static std::uint32_t serving(upstream_table const& upstreams,
+                                 std::string const& service,
+                                 std::string const& domain, bool reclaimable);
 
     capacity_plan_options options_;
     std::map<subject, row> rows_;
--- a/src/core/fleet_duties.cpp
+++ b/src/core/fleet_duties.cpp
@@ -93,7 +93,7 @@
     note_change();
 }
 
-void fleet_duties::handle(time_point, order_answered const& what)
+void fleet_duties::handle(time_point now, order_answered const& what)
 {
     bool const fenced =
         absl::IsAborted(what.status) && what.refused_for_fence;
@@ -104,7 +104,7 @@
             fmt::format("{} fenced={} reason=\"{}\"", describe(what.order),
                         fenced, std::string(what.status.message()))});
     }
-    plan_.answered(what.order, what.status.ok());
+    plan_.answered(now, what.order, what.status.ok());
     if (fenced)
     {
         log_.on_fenced();
--- a/src/core/request_endings.cpp
+++ b/src/core/request_endings.cpp
@@ -94,7 +94,7 @@
     }
     if (r.run == verdict::not_run)
     {
-        quotas_.refund(r.organisation, r.quota_units);
+        quotas_.refund(now, r.organisation, r.quota_units);
     }
     held_bytes_ -= r.request.body.size();
     rows_.erase(request_id(r.request.id));
--- a/src/core/request_path.cpp
+++ b/src/core/request_path.cpp
@@ -293,12 +293,11 @@
         if (!decision.allowed)
         {
             note("quota_exceeded", r.request.id,
-                 fmt::format("organisation={} units={} level={:.0f} "
-                             "unheard={:.0f} share={:.2f} rate={} burst={}",
-                             r.organisation, units, decision.level,
-                             decision.unheard, decision.share,
-                             organisation.quota.rate_per_second,
-                             organisation.quota.burst));
+                 fmt::format(
+                     "organisation={} units={} used={:.0f} unheard={:.0f} "
+                     "limit={:.0f}",
+                     r.organisation, units, decision.used, decision.unheard,
+                     decision.limit));
             refuse(now, r, too_many_requests, "quota_exceeded",
                    decision.retry_after);
             return false;
--- a/src/core/shared_quota.cpp
+++ b/src/core/shared_quota.cpp
@@ -24,75 +24,120 @@
 void shared_quota::configure(time_point now, std::string const& organisation,
                              quota_spec const& quota)
 {
-    auto const [place, added] = buckets_.try_emplace(organisation);
-    bucket& b = place->second;
+    auto const [place, added] = accounts_.try_emplace(organisation);
+    account& a = place->second;
+    a.quota = quota;
     if (added)
     {
-        b.level = quota.burst * options_.initial_fill;
-        b.filled_at = now;
+        assume_used(now, a);
+    }
+}
+
+// Takes the quota for used evenly in the window that ends now.
+void shared_quota::assume_used(time_point now, account& a) const
+{
+    std::int64_t const slots = options_.window / slot_length;
+    double const each = limit_in_window(a.quota) / static_cast<double>(slots);
+    for (std::int64_t i = slots; i > 0; --i)
+    {
+        a.slots.push_back({now - i * slot_length, each});
+        a.used += each;
     }
-    fill(now, b);
-    b.quota = quota;
-    b.level = std::min(b.level, quota.burst);
 }
 
 quota_decision shared_quota::spend(time_point now,
                                    std::string const& organisation,
                                    double units)
 {
-    auto const known = buckets_.find(organisation);
-    if (known == buckets_.end() || known->second.quota.rate_per_second <= 0)
+    auto const known = accounts_.find(organisation);
+    if (known == accounts_.end() || known->second.quota.rate_per_second <= 0)
     {
         return {};
     }
-    bucket& b = known->second;
-    fill(now, b);
-    double const floor = -options_.overdraft * tolerance(b.quota);
+    account& a = known->second;
+    forget_old(now, a);
     quota_decision decision;
-    decision.level = b.level;
+    decision.used = a.used;
     decision.unheard = unheard(now, organisation);
-    decision.share = own_share(now);
-    double const left = decision.level - decision.unheard - floor;
-    if (left <= 0)
+    decision.limit = (limit_in_window(a.quota) +
+                      options_.overdraft * tolerance(a.quota)) *
+                     own_share(now);
+    double const excess =
+        decision.used + decision.unheard + units - decision.limit;
+    if (excess > 0)
     {
-        auto const wait = duration(static_cast<std::int64_t>(
-            (units - left) / b.quota.rate_per_second * 1e6));
         decision.allowed = false;
-        decision.retry_after =
-            std::clamp(wait, min_retry_after, max_retry_after);
+        decision.retry_after = room_after(now, a, excess);
         return decision;
     }
-    b.level -= units;
-    b.spent += units;
+    add(now, a, units);
+    a.spent += units;
     return decision;
 }
 
-void shared_quota::refund(std::string const& organisation, double units)
+// When `excess` units of the use will have left the window.
+duration shared_quota::room_after(time_point now, account const& a,
+                                  double excess) const
+{
+    for (slot const& s : a.slots)
+    {
+        excess -= s.units;
+        if (excess <= 0)
+        {
+            duration const wait =
+                s.start + slot_length + options_.window - now;
+            return std::clamp(wait, min_retry_after, max_retry_after);
+        }
+    }
+    return max_retry_after;
+}
+
+void shared_quota::refund(time_point now, std::string const& organisation,
+                          double units)
 {
-    auto const known = buckets_.find(organisation);
-    if (known != buckets_.end())
+    auto const known = accounts_.find(organisation);
+    if (known != accounts_.end() && units > 0)
     {
-        known->second.level += units;
+        add(now, known->second, -units);
         known->second.spent -= units;
     }
 }
 
-// What may be used beyond the quota in a window.
-double shared_quota::tolerance(quota_spec const& quota) const
+double shared_quota::limit_in_window(quota_spec const& quota) const
 {
     double const window =
         std::chrono::duration<double>(options_.window).count();
-    double const limit = quota.rate_per_second * window + quota.burst;
-    return limit * options_.overshoot + options_.slack;
+    return quota.rate_per_second * window + quota.burst;
 }
 
-void shared_quota::fill(time_point now, bucket& b) const
+// What may be used beyond the quota in a window.
+double shared_quota::tolerance(quota_spec const& quota) const
+{
+    return limit_in_window(quota) * options_.overshoot + options_.slack;
+}
+
+void shared_quota::add(time_point now, account& a, double units)
+{
+    if (a.slots.empty() || now >= a.slots.back().start + slot_length)
+    {
+        a.slots.push_back({now, 0});
+    }
+    a.slots.back().units += units;
+    a.used += units;
+}
+
+void shared_quota::forget_old(time_point now, account& a) const
 {
-    double const passed = seconds_between(b.filled_at, now);
-    b.filled_at = std::max(b.filled_at, now);
-    b.level =
-        std::min(b.quota.burst, b.level + passed * b.quota.rate_per_second *
-                                              own_share(now));
+    while (!a.slots.empty() &&
+           a.slots.front().start + slot_length + options_.window <= now)
+    {
+        a.used -= a.slots.front().units;
+        a.slots.pop_front();
+    }
+    if (a.slots.empty())
+    {
+        a.used = 0; // drops what rounding has left
+    }
 }
 
 // The part of a quota's rate that falls to this VM and the peers it hears.
@@ -128,11 +173,11 @@
 quota_report shared_quota::report(std::string vm, std::uint64_t incarnation)
 {
     quota_report result{std::move(vm), incarnation, ++sequence_, {}};
-    for (auto const& [organisation, b] : buckets_)
+    for (auto const& [organisation, a] : accounts_)
     {
-        if (b.quota.rate_per_second > 0)
+        if (a.quota.rate_per_second > 0)
         {
-            result.spent.push_back({organisation, b.spent});
+            result.spent.push_back({organisation, a.spent});
         }
     }
     return result;
@@ -164,11 +209,10 @@
         {
             spent.rate += rate_gain * (used / passed - spent.rate);
         }
-        auto const b = buckets_.find(row.organisation);
-        if (b != buckets_.end())
+        auto const own = accounts_.find(row.organisation);
+        if (own != accounts_.end() && used > 0)
         {
-            fill(now, b->second);
-            b->second.level -= used;
+            add(now, own->second, used);
         }
     }
     known.incarnation = peer.incarnation;
--- a/src/core/shared_quota.hpp
+++ b/src/core/shared_quota.hpp
@@ -1,20 +1,20 @@
 // Limits what each organisation uses over all VMs, without asking anybody.
 //
-// Each VM keeps a token bucket of the whole fleet for each organisation: it
-// fills at the quota's rate up to the burst, and is emptied by what this VM
-// admits and by what the peers say they admitted. What a peer admitted since it
-// was last heard is estimated by its rate until then, and replaced by the truth
-// when it comes.
+// A quota allows rate x window + burst in any span of `window`. Each VM keeps
+// the fleet's use of the last window for each organisation, in short slots:
+// what it admitted itself, and what the peers say they admitted, counted when
+// it is heard. What a peer admitted since it was last heard is estimated by its
+// rate until then, and replaced by the truth when it comes.
 //
 // The quota holds while VMs cannot hear each other: a peer that was silent for
-// `silence` is taken to use its share, so that this VM fills its bucket with
-// its own part of the rate only. A VM that starts begins with a small part of
-// the burst, since the bucket may just have been emptied by others.
+// `silence` is taken to use its share, so that this VM and those it hears use
+// their own part only. A VM that starts takes the quota for used evenly in the
+// window before, so that room comes at the quota's own rate.
 // Error: at most what the peers admit above their estimate between two of
 // their messages, and the unspent share of peers that are gone.
 //
 // Load it answers: one organisation sends many times its usual at all VMs.
-// Cost: O(peers) a decision; memory: peers times organisations.
+// Cost: O(peers) a decision; memory: organisations times (slots and peers).
 #ifndef AMARANTHARCH_CORE_SHARED_QUOTA_HPP
 #define AMARANTHARCH_CORE_SHARED_QUOTA_HPP
 
@@ -24,6 +24,7 @@
 #include <msgpack.hpp>
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <string>
 #include <vector>
@@ -38,11 +39,9 @@
     // What may be used beyond it in a window: a share of it, and units besides.
     double overshoot = 0;
     double slack = 0;
-    // Part of that tolerance that a bucket may be overdrawn by; the rest is
-    // for what peers admit unheard.
+    // Part of that tolerance that VMs use; the rest is for what peers admit
+    // unheard.
     double overdraft = 0.2;
-    // A bucket's content at a VM's start, as a share of the burst.
-    double initial_fill = 0.25;
     // A peer that was not heard for so long is counted with its full share.
     duration silence = std::chrono::milliseconds(1'500);
     // A peer that was not heard for so long is gone.
@@ -71,39 +70,48 @@
 {
     bool allowed = true;
     duration retry_after{}; // if not allowed: when there is room again
-    // What decided: the bucket, what peers have probably used since they were
-    // heard, and the part of the rate that falls to those heard.
-    double level = 0;
+    // What decided: the use of the last window, what peers have probably used
+    // since they were heard, and the limit for this VM and those it hears.
+    double used = 0;
     double unheard = 0;
-    double share = 1;
+    double limit = 0;
 };
 
 class shared_quota
 {
 public:
+    static constexpr duration slot_length = std::chrono::milliseconds(100);
+
     explicit shared_quota(shared_quota_options options) : options_(options) {}
 
     // The quota of an organisation from now on; a rate of 0 is no limit.
     void configure(time_point now, std::string const& organisation,
                    quota_spec const& quota);
 
-    // Decides on a request of `units` and, if it is allowed, withdraws them.
+    // Decides on a request of `units` and, if it is allowed, counts them.
     quota_decision spend(time_point now, std::string const& organisation,
                          double units);
 
     // Gives back what an allowed request did not use.
-    void refund(std::string const& organisation, double units);
+    void refund(time_point now, std::string const& organisation, double units);
 
     quota_report report(std::string vm, std::uint64_t incarnation);
     void merge(time_point now, quota_report const& peer);
 
 private:
-    struct bucket
+    // Use within slot_length from `start` on.
+    struct slot
+    {
+        time_point start;
+        double units = 0;
+    };
+
+    struct account
     {
         quota_spec quota;
-        double level = 0;
-        double spent = 0; // by this VM
-        time_point filled_at;
+        std::deque<slot> slots; // of the last window, in order
+        double used = 0;        // the sum of their units
+        double spent = 0;       // by this VM since its start
     };
 
     struct peer_spent
@@ -120,13 +128,17 @@
         std::map<std::string, peer_spent> spent;
     };
 
-    void fill(time_point now, bucket& b) const;
+    void forget_old(time_point now, account& a) const;
+    static void add(time_point now, account& a, double units);
+    void assume_used(time_point now, account& a) const;
+    duration room_after(time_point now, account const& a, double excess) const;
+    double limit_in_window(quota_spec const& quota) const;
     double own_share(time_point now) const;
     double unheard(time_point now, std::string const& organisation) const;
     double tolerance(quota_spec const& quota) const;
 
     shared_quota_options options_;
-    std::map<std::string, bucket> buckets_;
+    std::map<std::string, account> accounts_;
     std::map<std::string, peer_row> peers_;
     std::uint64_t sequence_ = 0;
 };
--- a/src/core/shared_quota_test.cpp
+++ b/src/core/shared_quota_test.cpp
@@ -136,6 +136,7 @@
     }
     quota_decision const refused = quota.spend(start, heavy, 100);
     BOOST_TEST(!refused.allowed);
+    BOOST_TEST((refused.retry_after > duration::zero()));
     BOOST_TEST(quota.spend(start + refused.retry_after, heavy, 100).allowed);
 }
 
@@ -146,7 +147,7 @@
     while (quota.spend(start, heavy, 100).allowed)
     {
     }
-    quota.refund(heavy, 200);
+    quota.refund(start, heavy, 200);
     BOOST_TEST(quota.spend(start, heavy, 100).allowed);
 }
 
@@ -168,6 +169,19 @@
     BOOST_TEST(worst_window(steps) <= allowed_in_window);
 }
 
+BOOST_AUTO_TEST_CASE(gives_the_whole_quota_of_each_window)
+{
+    fleet all(9, 800);
+    auto const steps = all.run(400);
+    double sum = 0;
+    for (std::size_t i = 100; i < 400; ++i)
+    {
+        sum += steps[i];
+    }
+    // 30 s at (rate x window + burst) / window.
+    BOOST_TEST(sum >= 0.95 * 30 * 9'000 / 8);
+}
+
 BOOST_AUTO_TEST_CASE(gives_what_is_asked_below_the_limit)
 {
     fleet all(9, 60);
