--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/.."
 [ -d build ] || cmake --preset release > /dev/null
 if [ $# -gt 0 ]; then files=("$@"); else
-    mapfile -t files < <(git ls-files 'src/*.cpp' 'src/*.hpp')
+    mapfile -t files < <(git ls-files '*.cpp' '*.hpp')
 fi
 clang-format --dry-run --Werror "${files[@]}"
 printf '%s\n' "${files[@]}" | grep '\.cpp$' |
--- a/src/app/commands.cpp
+++ b/src/app/commands.cpp
@@ -36,13 +36,7 @@
 // The settings that the options name.
 absl::StatusOr<settings> chosen_settings(options::variables_map const& given)
 {
-    bool const on_platform = given.count("platform") != 0;
-    if (on_platform == (given.count("settings") != 0))
-    {
-        return absl::InvalidArgumentError(
-            "amarantharch serve: expected either --settings or --platform");
-    }
-    if (!on_platform)
+    if (given.count("platform") == 0)
     {
         return read_settings(given["settings"].as<std::string>());
     }
@@ -136,6 +130,12 @@
 
 int serve(options::variables_map const& given)
 {
+    if ((given.count("settings") != 0) == (given.count("platform") != 0))
+    {
+        fmt::print(stderr, "amarantharch serve: expected either --settings or "
+                           "--platform\n");
+        return exit_usage;
+    }
     auto const chosen = chosen_settings(given);
     if (!chosen.ok())
     {
--- a/src/app/platform_mode.hpp
+++ b/src/app/platform_mode.hpp
@@ -14,8 +14,7 @@
 
 // The product's settings by the platform's; InvalidArgument for an endpoint
 // that is none.
-absl::StatusOr<settings>
-settings_of(platform::process_settings const& process);
+absl::StatusOr<settings> settings_of(platform::process_settings const& process);
 
 // What the request path does differently there.
 void apply_platform(platform::process_settings const& process,
--- a/src/app/server.cpp
+++ b/src/app/server.cpp
@@ -32,7 +32,8 @@
 // On the platform: a stopping VM takes requests until the balancer has missed
 // its readiness twice, a second apart.
 constexpr std::chrono::milliseconds platform_listen_grace{3'000};
-// Between a VM's messages about usage; quotas err by what is admitted meanwhile.
+// Between a VM's messages about usage; quotas err by what is admitted
+// meanwhile.
 constexpr duration platform_usage_interval = std::chrono::milliseconds(300);
 // An attempt's connection; the upstreams are 3 ms away.
 constexpr duration platform_connect_timeout = std::chrono::milliseconds(300);
--- a/src/app/server.hpp
+++ b/src/app/server.hpp
@@ -117,10 +117,10 @@
     admin_server admin_;
     metrics metrics_;
     timeline timeline_;
-    std::unique_ptr<log_transport> log_;        // null: no log configured
-    std::unique_ptr<peer_transport> peers_;     // null: no certificates
+    std::unique_ptr<log_transport> log_;            // null: no log configured
+    std::unique_ptr<peer_transport> peers_;         // null: no certificates
     std::unique_ptr<datagram_transport> datagrams_; // null: not on the platform
-    std::unique_ptr<platform_client> platform_; // null: none configured
+    std::unique_ptr<platform_client> platform_;     // null: none configured
     // Null unless the VM runs on the users' platform.
     std::unique_ptr<platform::platform_link> link_;
     engine_client engines_;
--- a/src/core/capacity_plan.hpp
+++ b/src/core/capacity_plan.hpp
@@ -55,9 +55,7 @@
 class capacity_plan
 {
 public:
-    explicit capacity_plan(capacity_plan_options options) : options_(options)
-    {
-    }
+    explicit capacity_plan(capacity_plan_options options) : options_(options) {}
 
     // The orders that are due, by what runs now.
     std::vector<upstream_order> due(time_point now, site const& tables,
@@ -80,7 +78,6 @@
         time_point next_try{};
     };
 
-
     static subject subject_of(upstream_order const& order)
     {
         return {order.service, order.failure_domain, order.reclaimable};
--- a/src/core/concurrency_limit.cpp
+++ b/src/core/concurrency_limit.cpp
@@ -34,9 +34,9 @@
     // A limit that has not been lowered follows its ceiling.
     bool const at_ceiling = limit() >= options_.ceiling;
     options_ = options;
-    limit_ = at_ceiling ? options_.ceiling
-                        : std::clamp<double>(limit_, options_.floor,
-                                             options_.ceiling);
+    limit_ = at_ceiling
+                 ? options_.ceiling
+                 : std::clamp<double>(limit_, options_.floor, options_.ceiling);
 }
 
 std::uint32_t concurrency_limit::limit() const
--- a/src/core/duty_log.cpp
+++ b/src/core/duty_log.cpp
@@ -92,8 +92,7 @@
 // Reads what is new, and claims when the holder has been silent for too long.
 void duty_log::watch(time_point now, duty_sink const& emit)
 {
-    bool const silent =
-        !any_record_ || now - record_seen_ >= options_.takeover;
+    bool const silent = !any_record_ || now - record_seen_ >= options_.takeover;
     if (caught_up_ && silent)
     {
         duty_record record;
@@ -138,7 +137,8 @@
 duty_log::next_window(time_point now, usage_windows const& usage) const
 {
     window_number const present = usage.window_at(now);
-    constexpr auto kept = static_cast<window_number>(usage_windows::kept_windows);
+    constexpr auto kept =
+        static_cast<window_number>(usage_windows::kept_windows);
     for (window_number w = present - kept; w < present; ++w)
     {
         time_point const end = usage.end_of(w);
@@ -291,9 +291,9 @@
 
 std::string duty_log::describe() const
 {
-    return holder_ ? fmt::format("holder={} fence={}", holder_->vm,
-                                 holder_->fence)
-                   : std::string("holder=none");
+    return holder_
+               ? fmt::format("holder={} fence={}", holder_->vm, holder_->fence)
+               : std::string("holder=none");
 }
 
 } // namespace amarantharch
--- a/src/core/duty_log.hpp
+++ b/src/core/duty_log.hpp
@@ -111,8 +111,7 @@
 class duty_log
 {
 public:
-    explicit duty_log(duty_log_options options)
-        : options_(std::move(options))
+    explicit duty_log(duty_log_options options) : options_(std::move(options))
     {
     }
 
@@ -162,8 +161,8 @@
     void append_order(time_point now, duty_sink const& emit);
     void watch(time_point now, duty_sink const& emit);
     bool send_report(time_point now, duty_sink const& emit);
-    std::optional<window_number>
-    next_window(time_point now, usage_windows const& usage) const;
+    std::optional<window_number> next_window(time_point now,
+                                             usage_windows const& usage) const;
     void repeat_reports(time_point now);
 
     duty_log_options options_;
--- a/src/core/duty_log_test.cpp
+++ b/src/core/duty_log_test.cpp
@@ -130,7 +130,8 @@
 
     vm& holder()
     {
-        return **std::find_if(vms.begin(), vms.end(), [](auto const& each)
+        return **std::find_if(vms.begin(), vms.end(),
+                              [](auto const& each)
                               { return each->log->holds(); });
     }
 
@@ -177,9 +178,9 @@
 {
     fleet all(3);
     all.run(seconds(20));
-    auto const holders = std::count_if(
-        all.vms.begin(), all.vms.end(),
-        [](auto const& each) { return each->log->holds(); });
+    auto const holders =
+        std::count_if(all.vms.begin(), all.vms.end(),
+                      [](auto const& each) { return each->log->holds(); });
     BOOST_TEST(holders == 1);
     BOOST_TEST(windows_reported(all.around.accepted) >= 3u);
 }
--- a/src/core/event.hpp
+++ b/src/core/event.hpp
@@ -150,14 +150,12 @@
     time_point deadline;
 };
 
-using event =
-    std::variant<call_received, call_abandoned, upstream_head, upstream_piece,
-                 upstream_end, upstream_failed, ticked, log_result,
-                 peer_message_received, members_listed, upstream_reported,
-                 upstream_leaving_seen, site_read, upstream_listed,
-                 upstream_unlisted, duty_log_read, duty_log_gone,
-                 duty_log_failed, duty_record_appended, usage_reported,
-                 order_answered, stop_requested>;
+using event = std::variant<
+    call_received, call_abandoned, upstream_head, upstream_piece, upstream_end,
+    upstream_failed, ticked, log_result, peer_message_received, members_listed,
+    upstream_reported, upstream_leaving_seen, site_read, upstream_listed,
+    upstream_unlisted, duty_log_read, duty_log_gone, duty_log_failed,
+    duty_record_appended, usage_reported, order_answered, stop_requested>;
 
 } // namespace amarantharch
 
--- a/src/core/fleet_duties.cpp
+++ b/src/core/fleet_duties.cpp
@@ -95,14 +95,13 @@
 
 void fleet_duties::handle(time_point now, order_answered const& what)
 {
-    bool const fenced =
-        absl::IsAborted(what.status) && what.refused_for_fence;
+    bool const fenced = absl::IsAborted(what.status) && what.refused_for_fence;
     if (!what.status.ok())
     {
-        emit_(record_timeline{
-            "order_failed", "",
-            fmt::format("{} fenced={} reason=\"{}\"", describe(what.order),
-                        fenced, std::string(what.status.message()))});
+        emit_(record_timeline{"order_failed", "",
+                              fmt::format("{} fenced={} reason=\"{}\"",
+                                          describe(what.order), fenced,
+                                          std::string(what.status.message()))});
     }
     plan_.answered(now, what.order, what.status.ok());
     if (fenced)
--- a/src/core/keyed_follower.cpp
+++ b/src/core/keyed_follower.cpp
@@ -91,8 +91,8 @@
     outstanding_ = false;
     std::uint32_t const doublings = std::min(failures_, 8u);
     ++failures_;
-    due_ = now + std::min(options_.retry_max, options_.retry_min *
-                                                  (std::int64_t{1} << doublings));
+    due_ = now + std::min(options_.retry_max,
+                          options_.retry_min * (std::int64_t{1} << doublings));
 }
 
 void keyed_follower::take(time_point now, keyed_record const& record)
--- a/src/core/keyed_follower.hpp
+++ b/src/core/keyed_follower.hpp
@@ -76,8 +76,7 @@
 class keyed_follower
 {
 public:
-    explicit keyed_follower(keyed_follower_options options)
-        : options_(options)
+    explicit keyed_follower(keyed_follower_options options) : options_(options)
     {
     }
 
--- /dev/null
+++ b/src/core/keyed_follower_test.cpp
@@ -0,0 +1,176 @@
+#include "core/keyed_follower.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+#include <string>
+
+namespace amarantharch
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+time_point const start = from_micros(1'000'000'000);
+
+keyed_record put(std::uint64_t offset, std::string key, std::string value)
+{
+    return {offset, std::move(key), std::move(value)};
+}
+
+keyed_record dropped(std::uint64_t offset, std::string key)
+{
+    return {offset, std::move(key), std::nullopt};
+}
+
+struct followed
+{
+    followed() : follower(keyed_follower_options{}) {}
+
+    // Lists `records` as the whole stream.
+    void list(std::vector<keyed_record> records, std::uint64_t end)
+    {
+        auto const read = follower.next(now);
+        BOOST_REQUIRE((read && read->lists));
+        follower.on_page(now, {std::move(records), end, false});
+        apply();
+    }
+
+    void read(std::vector<keyed_record> records)
+    {
+        auto const asked = follower.next(now);
+        BOOST_REQUIRE((asked && !asked->lists));
+        follower.on_records(now, {std::move(records), 0, false});
+        apply();
+    }
+
+    void fail()
+    {
+        BOOST_REQUIRE(follower.next(now).has_value());
+        follower.on_failure(now);
+    }
+
+    void apply()
+    {
+        for (keyed_change const& change : follower.take_changes(now))
+        {
+            if (change.value)
+            {
+                state[change.key] = *change.value;
+            }
+            else
+            {
+                state.erase(change.key);
+            }
+        }
+    }
+
+    keyed_follower follower;
+    time_point now = start;
+    std::map<std::string, std::string> state;
+};
+
+using contents = std::map<std::string, std::string>;
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(a_follower_of_a_keyed_stream)
+
+BOOST_AUTO_TEST_CASE(lists_by_pages_and_reads_on_from_before_the_first)
+{
+    followed f;
+    auto const first = f.follower.next(f.now);
+    BOOST_REQUIRE(first->lists);
+    BOOST_TEST(!f.follower.next(f.now).has_value());
+    f.follower.on_page(f.now, {{put(3, "a", "1")}, 5, true});
+    BOOST_TEST(!f.follower.known());
+    auto const second = f.follower.next(f.now);
+    BOOST_TEST(second->after_key == "a");
+    f.follower.on_page(f.now, {{put(6, "b", "2")}, 7, false});
+    BOOST_TEST(f.follower.known());
+    BOOST_TEST(f.follower.next(f.now)->from == 5u);
+    f.follower.on_records(f.now, {{dropped(5, "a"), put(6, "b", "2")}, 7});
+    f.apply();
+    BOOST_TEST((f.state == contents{{"b", "2"}}));
+}
+
+BOOST_AUTO_TEST_CASE(
+    lists_anew_when_records_are_gone_and_reports_the_difference)
+{
+    followed f;
+    f.list({put(0, "a", "1"), put(1, "b", "1")}, 2);
+    BOOST_REQUIRE(f.follower.next(f.now).has_value());
+    f.follower.on_trimmed(f.now);
+    f.list({put(7, "b", "2"), put(8, "c", "1")}, 9);
+    BOOST_TEST((f.state == contents{{"b", "2"}, {"c", "1"}}));
+    BOOST_TEST(f.follower.next(f.now)->from == 9u);
+}
+
+BOOST_AUTO_TEST_CASE(tries_again_less_and_less_often_while_the_log_fails)
+{
+    followed f;
+    duration last{};
+    for (int i = 0; i < 6; ++i)
+    {
+        f.fail();
+        BOOST_TEST(!f.follower.reachable());
+        time_point const failed = f.now;
+        while (!f.follower.next(f.now))
+        {
+            f.now += milliseconds(10);
+        }
+        BOOST_TEST((f.now - failed >= last));
+        last = f.now - failed;
+        f.follower.on_failure(f.now);
+        f.now += seconds(1);
+    }
+    BOOST_TEST((last <= seconds(1)));
+}
+
+BOOST_AUTO_TEST_SUITE(when_a_key_disappears)
+
+BOOST_AUTO_TEST_CASE(reports_it_at_once_while_the_log_is_well)
+{
+    followed f;
+    f.list({put(0, "a", "1")}, 1);
+    f.read({dropped(1, "a")});
+    BOOST_TEST(f.state.empty());
+}
+
+BOOST_AUTO_TEST_CASE(waits_after_an_outage_until_its_writer_had_time_to_return)
+{
+    followed f;
+    f.list({put(0, "a", "1"), put(1, "b", "1")}, 2);
+    f.fail();
+    f.now += seconds(5);
+    f.read({dropped(2, "a"), dropped(3, "b")});
+    BOOST_TEST(f.state.size() == 2u);
+    f.now += seconds(1);
+    f.read({put(4, "a", "2")});
+    f.now += milliseconds(1'300);
+    f.apply();
+    BOOST_TEST((f.state == contents{{"a", "2"}}));
+}
+
+BOOST_AUTO_TEST_CASE(keeps_it_while_the_log_fails_again)
+{
+    followed f;
+    f.list({put(0, "a", "1")}, 1);
+    f.fail();
+    f.now += seconds(1);
+    f.read({dropped(1, "a")});
+    f.fail();
+    f.now += seconds(5);
+    f.apply();
+    BOOST_TEST(f.state.size() == 1u);
+    f.read({});
+    BOOST_TEST(f.state.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace amarantharch
--- a/src/core/peer_exchange.cpp
+++ b/src/core/peer_exchange.cpp
@@ -92,8 +92,8 @@
             requests.moves().evidence(options_.vm, options_.incarnation);
         quota_report spent =
             requests.quotas().report(now, options_.vm, options_.incarnation);
-        usage.began = requests.begun().report(now, options_.vm,
-                                              options_.incarnation);
+        usage.began =
+            requests.begun().report(now, options_.vm, options_.incarnation);
         bool const counts = !spent.spent.empty();
         if (counts)
         {
--- a/src/core/request_attempts.cpp
+++ b/src/core/request_attempts.cpp
@@ -235,13 +235,12 @@
     {
         return;
     }
-    answer_terms const terms = options_.spoken->read_answer(
-        r->request.id, what.status, what.headers);
+    answer_terms const terms =
+        options_.spoken->read_answer(r->request.id, what.status, what.headers);
     if (terms.load)
     {
-        upstream_reported(
-            upstreams_.row(r->upstream).profile.name,
-            {now, terms.load->running, terms.load->waiting, 0});
+        upstream_reported(upstreams_.row(r->upstream).profile.name,
+                          {now, terms.load->running, terms.load->waiting, 0});
     }
     bool const not_run = terms.stated == verdict::not_run;
     bool const fault = what.status >= http_server_error;
@@ -536,8 +535,7 @@
     question.run = r.run;
     question.idempotent = r.route.idempotent;
     question.answer_begun = r.answer_begun;
-    question.resumable =
-        r.relay.has_value() || (r.events && r.route.resumable);
+    question.resumable = r.relay.has_value() || (r.events && r.route.resumable);
     question.max_attempts = r.route.max_attempts;
     question.attempts = r.attempts;
     question.deadline = r.deadline;
--- a/src/core/request_path.cpp
+++ b/src/core/request_path.cpp
@@ -62,8 +62,7 @@
 {
 }
 
-void request_path::set_site(time_point now,
-                            std::shared_ptr<site const> tables)
+void request_path::set_site(time_point now, std::shared_ptr<site const> tables)
 {
     std::vector<std::string> kept;
     for (upstream_spec const& spec : tables->upstreams)
@@ -157,10 +156,10 @@
     int rank = route.urgency_rank;
     for (organisation_spec const& known : site_->organisations)
     {
-        rank += known.name == organisation ? known.urgency_rank * ranks_each : 0;
+        rank +=
+            known.name == organisation ? known.urgency_rank * ranks_each : 0;
     }
-    return static_cast<std::uint8_t>(
-        std::min<int>(rank, lowest_urgency_rank));
+    return static_cast<std::uint8_t>(std::min<int>(rank, lowest_urgency_rank));
 }
 
 std::uint32_t request_path::expected_output(row const& r)
@@ -227,8 +226,7 @@
             {401, verdict::not_run, "unknown_organisation", duration::zero()}});
         return;
     }
-    if (options_.records_requests &&
-        request.target.starts_with(inquiry_prefix))
+    if (options_.records_requests && request.target.starts_with(inquiry_prefix))
     {
         answer_inquiry(now, request, *organisation);
         return;
@@ -245,8 +243,9 @@
     r.route.service = service_of(*route, request.id);
     r.priority = class_of(route->priority);
     r.urgency = urgency_of(*organisation, *route);
-    r.deadline = now + std::min(route->timeout, request.terms.time_limit.value_or(
-                                                    route->timeout));
+    r.deadline =
+        now + std::min(route->timeout,
+                       request.terms.time_limit.value_or(route->timeout));
     r.print = fingerprint_of(route->service, request.method, request.target,
                              request.body);
     held_bytes_ += request.body.size();
--- a/src/core/session_text.cpp
+++ b/src/core/session_text.cpp
@@ -335,8 +335,8 @@
     std::string operator()(start_attempt const& c) const
     {
         return fmt::format("start attempt={} request={} upstream={}{}",
-                           c.attempt, quoted_text(c.request.id), quoted_text(c.upstream),
-                           text_of(c.request.headers));
+                           c.attempt, quoted_text(c.request.id),
+                           quoted_text(c.upstream), text_of(c.request.headers));
     }
     std::string operator()(cancel_attempt const& c) const
     {
@@ -345,7 +345,8 @@
     std::string operator()(answer_head const& c) const
     {
         return fmt::format("answer_head request={} status={}{}",
-                           quoted_text(c.request), c.status, text_of(c.headers));
+                           quoted_text(c.request), c.status,
+                           text_of(c.headers));
     }
     std::string operator()(answer_piece const& c) const
     {
@@ -360,8 +361,9 @@
     {
         return fmt::format("refuse request={} status={} verdict={} reason={} "
                            "retry_after_ms={}",
-                           quoted_text(c.request), c.why.status, name(c.why.run),
-                           quoted_text(c.why.reason), to_millis(c.why.retry_after));
+                           quoted_text(c.request), c.why.status,
+                           name(c.why.run), quoted_text(c.why.reason),
+                           to_millis(c.why.retry_after));
     }
     std::string operator()(send_append const& c) const
     {
--- a/src/core/shared_quota.cpp
+++ b/src/core/shared_quota.cpp
@@ -147,8 +147,8 @@
 {
     double const passed = seconds_between(b.filled_at, now);
     b.filled_at = std::max(b.filled_at, now);
-    b.level = std::min(full(b.quota), b.level + passed * fill_rate(b.quota) *
-                                                    own_share(now));
+    b.level = std::min(full(b.quota),
+                       b.level + passed * fill_rate(b.quota) * own_share(now));
 }
 
 // The part of a quota's rate that falls to this VM and the peers it hears.
@@ -173,7 +173,8 @@
     for (auto const& [vm, peer] : peers_)
     {
         auto const known = peer.spent.find(organisation);
-        if (known != peer.spent.end() && now - peer.heard_at <= options_.silence)
+        if (known != peer.spent.end() &&
+            now - peer.heard_at <= options_.silence)
         {
             units += known->second.rate * seconds_between(peer.heard_at, now);
         }
@@ -212,8 +213,7 @@
     double const passed = seconds_between(known.heard_at, now);
     for (organisation_spent const& row : peer.spent)
     {
-        auto const [entry, added] =
-            known.spent.try_emplace(row.organisation);
+        auto const [entry, added] = known.spent.try_emplace(row.organisation);
         peer_spent& spent = entry->second;
         // What a VM admitted before it was first heard is history.
         double const before = added || first_heard ? row.units
--- a/src/core/shared_quota.hpp
+++ b/src/core/shared_quota.hpp
@@ -118,8 +118,8 @@
     {
         quota_spec quota;
         double level = 0;
-        double spent = 0;      // by this VM since its start
-        double unreported = 0; // of it, since the last report
+        double spent = 0;          // by this VM since its start
+        double unreported = 0;     // of it, since the last report
         double reported_level = 0; // the level at the last report
         time_point filled_at;
     };
--- a/src/core/site.cpp
+++ b/src/core/site.cpp
@@ -102,8 +102,9 @@
         return route.service;
     }
     constexpr std::uint64_t steps = std::uint64_t{1} << 20;
-    double left = static_cast<double>(XXH3_64bits(id.data(), id.size()) % steps) /
-                  static_cast<double>(steps) * total;
+    double left =
+        static_cast<double>(XXH3_64bits(id.data(), id.size()) % steps) /
+        static_cast<double>(steps) * total;
     for (service_share const& share : route.shares)
     {
         left -= share.weight;
--- a/src/core/site.hpp
+++ b/src/core/site.hpp
@@ -57,10 +57,10 @@
     std::uint8_t priority = default_route_priority; // 0 is served last
     // Whose requests it takes; nothing: everybody's.
     std::optional<std::vector<std::string>> organisations = std::nullopt;
-    std::string host = {};        // empty: any host
-    bool open_to_all = false;     // takes requests without a credential
-    bool event_stream = false;    // answered by events with ascending ids
-    bool resumable = false;       // an event stream may go on elsewhere
+    std::string host = {};          // empty: any host
+    bool open_to_all = false;       // takes requests without a credential
+    bool event_stream = false;      // answered by events with ascending ids
+    bool resumable = false;         // an event stream may go on elsewhere
     std::uint32_t max_attempts = 0; // 0: as the retry budget has it
     duration latency_target{};      // 0: none
     std::uint8_t urgency_rank = 0;  // 0 goes first at an engine
@@ -73,8 +73,8 @@
 {
     double rate_per_second = 0; // 0: no limit
     double burst = 0;
-    bool counts_tokens = false;         // else requests
-    double unsized_request_tokens = 0;  // charged where no size is given
+    bool counts_tokens = false;        // else requests
+    double unsized_request_tokens = 0; // charged where no size is given
 };
 
 struct organisation_spec
--- a/src/core/upstream_directory.cpp
+++ b/src/core/upstream_directory.cpp
@@ -29,10 +29,9 @@
     {
         return true;
     }
-    bool const older =
-        entry.incarnation < known.entry.incarnation ||
-        (entry.incarnation == known.entry.incarnation &&
-         entry.incarnation != 0 && sequence <= known.sequence);
+    bool const older = entry.incarnation < known.entry.incarnation ||
+                       (entry.incarnation == known.entry.incarnation &&
+                        entry.incarnation != 0 && sequence <= known.sequence);
     if (older)
     {
         return false;
--- a/src/net/datagram_transport.cpp
+++ b/src/net/datagram_transport.cpp
@@ -92,9 +92,8 @@
         return;
     }
     // A full queue is as good as a lost datagram.
-    (void)socket_.writeDatagram(bytes.data(),
-                                static_cast<qint64>(bytes.size()), target->host,
-                                target->port);
+    (void)socket_.writeDatagram(bytes.data(), static_cast<qint64>(bytes.size()),
+                                target->host, target->port);
 }
 
 void datagram_transport::read()
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -410,7 +410,7 @@
             row.socket->bytesAvailable() == 0;
         duration const idle = std::min(
             limits_.idle_lifetime, row.idle_limit.value_or(duration::max()));
-        reusable && idle > duration::zero()
+        reusable&& idle > duration::zero()
             ? keep(row.address, row.socket, now + idle)
             : discard(row.socket);
         handlers_.end(exchange);
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -137,10 +137,11 @@
             std::chrono::ceil<std::chrono::seconds>(why.retry_after);
         headers.push_back(
             {"Retry-After",
-             fractional ? fmt::format("{:.3f}", std::chrono::duration<double>(
-                                                    why.retry_after)
-                                                    .count())
-                        : fmt::to_string(seconds.count())});
+             fractional
+                 ? fmt::format(
+                       "{:.3f}",
+                       std::chrono::duration<double>(why.retry_after).count())
+                 : fmt::to_string(seconds.count())});
     }
     return headers;
 }
