--- a/src/core/capacity_plan.cpp
+++ b/src/core/capacity_plan.cpp
@@ -1,6 +1,7 @@
 #include "core/capacity_plan.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace amarantharch
 {
@@ -49,9 +50,14 @@
             }
             // Those that stand in for missing ones stay until these are back.
             std::uint32_t const missing = wanted - std::min(wanted, cheap);
+            auto const stand_ins = static_cast<std::uint32_t>(
+                std::ceil(missing * options_.stand_ins));
+            std::uint32_t const others =
+                missing > 0 ? std::max(floor + stand_ins, dear)
+                            : floor;
             upstream_order const second{
                 scaling.service, domain, false,
-                std::min(floor + missing, scaling.most - wanted)};
+                std::min(others, scaling.most - wanted)};
             if (is_due(now, second, dear, scaling.boot_time))
             {
                 orders.push_back(second);
--- a/src/core/capacity_plan.hpp
+++ b/src/core/capacity_plan.hpp
@@ -45,8 +45,11 @@
     // Reclaimable upstreams in each domain, and others beside them.
     std::uint32_t reclaimable_each = 4;
     std::uint32_t others_each = 1;
+    // Others in the place of each reclaimable one that is missing: what is
+    // left in the other domains bears most of the load.
+    double stand_ins = 0.5;
     // Between two attempts at an order that was not accepted.
-    duration retry_interval = std::chrono::seconds(2);
+    duration retry_interval = std::chrono::seconds(4);
     // How long after its boot time an upstream that was ordered counts as one
     // that serves; then it is missing.
     duration entry_time = std::chrono::seconds(3);
--- a/src/core/shared_quota.cpp
+++ b/src/core/shared_quota.cpp
@@ -13,6 +13,8 @@
 constexpr duration max_retry_after = std::chrono::seconds(5);
 // Weight of the newest span between two reports in a peer's rate.
 constexpr double rate_gain = 0.5;
+// Weight of the newest request in the mean size.
+constexpr double mean_gain = 0.05;
 
 double seconds_between(time_point from, time_point to)
 {
@@ -52,8 +54,9 @@
     decision.level = b.level;
     decision.unheard = unheard(now, organisation);
     decision.share = own_share(now);
-    // One that is larger than a full bucket goes when that is full.
-    double const needed = std::min(units, full(b.quota));
+    double const mean = b.mean_units == 0 ? units : b.mean_units;
+    b.mean_units = mean + mean_gain * (units - mean);
+    double const needed = std::min(mean, full(b.quota));
     double const room =
         std::min(decision.level - decision.unheard, part_left(b));
     double const missing = needed - room;
--- a/src/core/shared_quota.hpp
+++ b/src/core/shared_quota.hpp
@@ -17,6 +17,10 @@
 // Error: at most what the peers admit above their estimate between two of
 // their messages, and the unspent share of peers that are gone.
 //
+// Large and small requests have the same chance: a request is admitted where
+// there is room for one of mean size, and may overdraw the bucket. Else small
+// ones would always find room before a large one does.
+//
 // Load it answers: one organisation sends many times its usual at all VMs.
 // Cost: O(peers) a decision; memory: organisations times peers.
 #ifndef AMARANTHARCH_CORE_SHARED_QUOTA_HPP
@@ -121,6 +125,7 @@
         double spent = 0;          // by this VM since its start
         double unreported = 0;     // of it, since the last report
         double reported_level = 0; // the level at the last report
+        double mean_units = 0; // of the requests asked for lately
         time_point filled_at;
     };
 
--- a/src/core/shared_quota_test.cpp
+++ b/src/core/shared_quota_test.cpp
@@ -2,7 +2,9 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <array>
 #include <cstddef>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -141,6 +143,25 @@
     BOOST_TEST(quota.spend(start + refused.retry_after, heavy, 100).allowed);
 }
 
+BOOST_AUTO_TEST_CASE(serves_large_requests_as_often_as_small_ones)
+{
+    shared_quota quota(tolerant());
+    quota.configure(start, heavy, limit());
+    std::mt19937 random(1);
+    std::array<double, 2> asked{};
+    std::array<double, 2> served{};
+    for (time_point now = start; now < start + seconds(60);
+         now += milliseconds(10))
+    {
+        std::size_t const size = random() % 2;
+        ++asked[size];
+        served[size] +=
+            quota.spend(now, heavy, size == 0 ? 20 : 200).allowed ? 1 : 0;
+    }
+    BOOST_TEST(served[0] < asked[0]);
+    BOOST_TEST(served[1] / asked[1] >= 0.5 * served[0] / asked[0]);
+}
+
 BOOST_AUTO_TEST_CASE(returns_what_was_not_used)
 {
     shared_quota quota(tolerant());
