Log through a bounded buffer on standard output on the platform; SIGHUP does not end a VM

A VM that was told of changed settings ended, since nothing handled the signal (the new test failed with the old watcher's two signals: the process was gone). A reader that is slow costs log lines, those of decisions first, and no time.

--- a/src/app/commands.cpp
+++ b/src/app/commands.cpp
@@ -12,6 +12,8 @@
 
 #include <fmt/format.h>
 
+#include <unistd.h>
+
 #include <fstream>
 #include <iterator>
 
@@ -122,9 +124,21 @@
     return count == 0 ? exit_success : exit_fault;
 }
 
+// Says whether the settings, which have changed, can be read. They are in force
+// from the next start on.
+void check_again(options::variables_map const& given)
+{
+    auto const read = chosen_settings(given);
+    log(read.ok() ? log_level::info : log_level::error, "settings_changed",
+        {{"readable", read.ok() ? "yes" : "no"},
+         {"reason", std::string(read.status().message())},
+         {"in_force", "from the next start"}});
+}
+
 void stop_loop()
 {
     log(log_level::info, "stopped", {});
+    flush_log();
     QCoreApplication::exit(exit_success);
 }
 
@@ -143,6 +157,10 @@
         return exit_fault;
     }
     set_log_level(chosen->least_logged);
+    if (chosen->platform_process)
+    {
+        buffer_log(STDOUT_FILENO);
+    }
     server subject(*chosen, stop_loop);
     absl::Status const started = subject.start();
     if (!started.ok())
@@ -152,7 +170,8 @@
         return exit_fault;
     }
     auto const watcher = signal_watcher::watch(
-        [&] { subject.drain(chosen->limits.drain_timeout); });
+        [&] { subject.drain(chosen->limits.drain_timeout); },
+        [&] { check_again(given); });
     if (!watcher.ok())
     {
         log(log_level::error, "start_failed",
--- a/src/app/log.hpp
+++ b/src/app/log.hpp
@@ -45,6 +45,14 @@
 // `text` as the inside of a JSON string.
 std::string json_escape(std::string_view text);
 
+// From now on lines are held and written to `descriptor` by flush_log, which
+// never blocks; see log_buffer for what is dropped when its reader is slow.
+void buffer_log(int descriptor);
+
+// Writes held lines as far as their reader has room. Does nothing unless
+// buffer_log was called.
+void flush_log();
+
 } // namespace amarantharch
 
 #endif
--- a/src/app/process_fixture_test.hpp
+++ b/src/app/process_fixture_test.hpp
@@ -121,6 +121,12 @@
     }
 
     // Stops the process where it stands, until thaw().
+    // The settings have changed.
+    void reload()
+    {
+        (void)::kill(static_cast<pid_t>(process_.processId()), SIGHUP);
+    }
+
     void freeze()
     {
         (void)::kill(static_cast<pid_t>(process_.processId()), SIGSTOP);
--- a/src/app/process_test.cpp
+++ b/src/app/process_test.cpp
@@ -98,6 +98,18 @@
     }
 }
 
+BOOST_AUTO_TEST_SUITE(of_which_one_is_told_that_its_settings_changed)
+
+BOOST_FIXTURE_TEST_CASE(go_on_serving_at_all, fleet)
+{
+    vms[0]->reload();
+    BOOST_REQUIRE(!vms[0]->wait_for("settings_changed").isEmpty());
+    BOOST_TEST(serves(0));
+    BOOST_TEST(serves(1));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(of_which_one_is_killed)
 
 BOOST_FIXTURE_TEST_CASE(go_on_serving_at_the_others, fleet)
--- a/src/app/server.cpp
+++ b/src/app/server.cpp
@@ -484,8 +484,10 @@
     caller_row const row = take_caller(what.request);
     log(log_level::warning, "request_refused",
         {{"request", what.request},
+         {"status", fmt::to_string(what.why.status)},
          {"verdict", std::string(name(what.why.run))},
-         {"reason", what.why.reason}});
+         {"reason", what.why.reason},
+         {"retry_after_ms", fmt::to_string(to_millis(what.why.retry_after))}});
     metrics_.request_refused(what.why.reason, what.why.run);
     if (row.exchange != 0)
     {
@@ -561,7 +563,9 @@
     timeline_.record(present(), what.kind, what.request, what.details);
     if (link_) // elsewhere the admin endpoint serves the time line
     {
-        log(log_level::info, what.kind,
+        bool const failure =
+            what.kind == "request_refused" || what.kind == "attempt_failed";
+        log(failure ? log_level::warning : log_level::info, what.kind,
             {{"request", what.request}, {"details", what.details}});
     }
 }
@@ -575,6 +579,7 @@
     {
         link_->tick();
     }
+    flush_log();
     end_if_drained();
 }
 
--- a/src/app/signal_watcher.hpp
+++ b/src/app/signal_watcher.hpp
@@ -1,4 +1,4 @@
-// SIGTERM and SIGINT as calls on the event loop.
+// SIGTERM, SIGINT and SIGHUP as calls on the event loop.
 //
 // The handler writes one byte to a socket pair, which is all that a signal
 // handler may safely do; the event loop reads it. One watcher at a time.
@@ -16,10 +16,13 @@
 class signal_watcher
 {
 public:
-    // `stop_requested` is called once for each signal. Fails if the socket
-    // pair or the handlers cannot be made.
+    // `stop_requested` is called for each SIGTERM and SIGINT,
+    // `reload_requested` for each SIGHUP; it may be empty. SIGPIPE is ignored
+    // from then on: a write reports its error. Fails if the socket pair or the
+    // handlers cannot be made.
     static absl::StatusOr<std::unique_ptr<signal_watcher>>
-    watch(std::function<void()> stop_requested);
+    watch(std::function<void()> stop_requested,
+          std::function<void()> reload_requested);
 
     ~signal_watcher();
     signal_watcher(signal_watcher const&) = delete;
--- a/src/core/capacity_plan.cpp
+++ b/src/core/capacity_plan.cpp
@@ -53,8 +53,7 @@
             auto const stand_ins = static_cast<std::uint32_t>(
                 std::ceil(missing * options_.stand_ins));
             std::uint32_t const others =
-                missing > 0 ? std::max(floor + stand_ins, dear)
-                            : floor;
+                missing > 0 ? std::max(floor + stand_ins, dear) : floor;
             upstream_order const second{
                 scaling.service, domain, false,
                 std::min(others, scaling.most - wanted)};
--- a/src/core/capacity_plan.hpp
+++ b/src/core/capacity_plan.hpp
@@ -47,7 +47,7 @@
     std::uint32_t others_each = 1;
     // Others in the place of each reclaimable one that is missing: what is
     // left in the other domains bears most of the load.
-    double stand_ins = 0.5;
+    double stand_ins = 0.75;
     // Between two attempts at an order that was not accepted.
     duration retry_interval = std::chrono::seconds(4);
     // How long after its boot time an upstream that was ordered counts as one
--- a/src/core/shared_quota.hpp
+++ b/src/core/shared_quota.hpp
@@ -125,7 +125,7 @@
         double spent = 0;          // by this VM since its start
         double unreported = 0;     // of it, since the last report
         double reported_level = 0; // the level at the last report
-        double mean_units = 0; // of the requests asked for lately
+        double mean_units = 0;     // of the requests asked for lately
         time_point filled_at;
     };
 
