Version moves ordered through the store: tried at a small share, ended before the deadline, reported

Ruled out: evidence between VMs (there was no move). Now an order becomes a version_move with stages below the allowed share, told between peers, its end written to and read from the store.

--- a/src/app/server.cpp
+++ b/src/app/server.cpp
@@ -534,6 +534,11 @@
     link_->carry_out(what);
 }
 
+void server::carry_out(report_version_move const& what)
+{
+    link_->carry_out(what);
+}
+
 void server::carry_out(send_to_peer const& what)
 {
     member const* const to = node_.control().members().find(what.message.vm);
--- a/src/core/command.hpp
+++ b/src/core/command.hpp
@@ -4,6 +4,7 @@
 
 #include "core/event.hpp"
 #include "core/log_client.hpp"
+#include "core/version_move.hpp"
 
 #include <functional>
 #include <string>
@@ -61,6 +62,14 @@
     fence_number fence = 0;
 };
 
+// Tells the operator where the move of a service stands.
+struct report_version_move
+{
+    std::string service;
+    std::string version;
+    move_state state = move_state::running;
+};
+
 // One line of the time line.
 struct record_timeline
 {
@@ -73,7 +82,7 @@
     std::variant<start_attempt, cancel_attempt, answer_head, answer_piece,
                  answer_end, answer_refusal, send_append, send_read,
                  send_to_peer, read_duty_log, append_duty_record, report_usage,
-                 order_upstreams, record_timeline>;
+                 order_upstreams, report_version_move, record_timeline>;
 
 using command_sink = std::function<void(command)>;
 
--- a/src/core/event.hpp
+++ b/src/core/event.hpp
@@ -110,6 +110,23 @@
     std::string upstream;
 };
 
+// The operator orders that a service's traffic be moved to another version.
+struct version_ordered
+{
+    std::string revision; // names this order; never reused
+    std::string service;
+    std::string version;
+    duration within{}; // from now
+};
+
+// How the platform's store says that an ordered move has ended.
+struct version_move_ended
+{
+    std::string service;
+    std::string version;
+    bool done = false; // else taken back
+};
+
 // Answers to the commands of the fleet's duties.
 struct duty_log_read
 {
@@ -154,8 +171,9 @@
     call_received, call_abandoned, upstream_head, upstream_piece, upstream_end,
     upstream_failed, ticked, log_result, peer_message_received, members_listed,
     upstream_reported, upstream_leaving_seen, site_read, upstream_listed,
-    upstream_unlisted, duty_log_read, duty_log_gone, duty_log_failed,
-    duty_record_appended, usage_reported, order_answered, stop_requested>;
+    upstream_unlisted, version_ordered, version_move_ended, duty_log_read,
+    duty_log_gone, duty_log_failed, duty_record_appended, usage_reported,
+    order_answered, stop_requested>;
 
 } // namespace amarantharch
 
--- a/src/core/move_table.cpp
+++ b/src/core/move_table.cpp
@@ -50,13 +50,6 @@
     return all > 0 ? newer / all : 0;
 }
 
-std::string encode(move_record const& record)
-{
-    msgpack::sbuffer buffer;
-    msgpack::pack(buffer, record);
-    return {buffer.data(), buffer.size()};
-}
-
 std::optional<move_record> decode(std::string const& payload)
 {
     try
@@ -71,6 +64,13 @@
 
 } // namespace
 
+std::string encode(move_record const& record)
+{
+    msgpack::sbuffer buffer;
+    msgpack::pack(buffer, record);
+    return {buffer.data(), buffer.size()};
+}
+
 void move_table::configure(time_point now, configuration const& tables)
 {
     std::vector<row> kept;
@@ -98,6 +98,29 @@
     rows_ = std::move(kept);
 }
 
+void move_table::order(time_point now, std::string name, move_plan plan,
+                       move_options const& options)
+{
+    if (find(plan.revision) != nullptr)
+    {
+        return;
+    }
+    std::erase_if(rows_, [&](row const& r) { return r.name == name; });
+    rows_.push_back(
+        {std::move(name), version_move(std::move(plan), options), {}, {}});
+    rows_.back().move.on_heard(now);
+}
+
+std::vector<std::string> move_table::state_records() const
+{
+    std::vector<std::string> records;
+    for (row const& r : rows_)
+    {
+        records.push_back(encode(r.move.state_record()));
+    }
+    return records;
+}
+
 move_table::row* move_table::find(std::string const& revision)
 {
     auto const found = std::find_if(
@@ -123,6 +146,7 @@
         bool const newer = choice.arm == version_arm::new_version;
         choice.version = newer ? plan.new_version : plan.old_version;
         choice.other = newer ? plan.old_version : "";
+        choice.avoided = newer ? "" : plan.new_version;
         return choice;
     }
     return {};
@@ -146,14 +170,24 @@
 }
 
 void move_table::apply(time_point now, log_batch const& batch)
+{
+    std::vector<std::string> records;
+    for (log_record const& record : batch.records)
+    {
+        records.push_back(record.payload);
+    }
+    apply(now, records);
+}
+
+void move_table::apply(time_point now, std::vector<std::string> const& records)
 {
     for (row& r : rows_)
     {
         r.move.on_heard(now);
     }
-    for (log_record const& record : batch.records)
+    for (std::string const& record : records)
     {
-        auto const decoded = decode(record.payload);
+        auto const decoded = decode(record);
         row* const r = decoded ? find(decoded->revision) : nullptr;
         if (r == nullptr)
         {
--- a/src/core/move_table.hpp
+++ b/src/core/move_table.hpp
@@ -28,11 +28,15 @@
     std::string move;    // empty: the service is not moving
     std::string version; // empty: any version
     std::string other;   // to fall back to; empty: none
+    std::string avoided; // never this version; empty: none is avoided
     version_arm arm = version_arm::old_version;
     double new_share = 0;
     load_band band = load_band::low;
 };
 
+// The bytes of a record, as they are kept in the log and sent to peers.
+std::string encode(move_record const& record);
+
 class move_table
 {
 public:
@@ -40,6 +44,16 @@
     // are dropped.
     void configure(time_point now, configuration const& tables);
 
+    // Takes a single move, ordered apart from any configuration; it replaces
+    // an earlier one of the same name. A plan without an old version moves
+    // from whatever is not the new one.
+    void order(time_point now, std::string name, move_plan plan,
+               move_options const& options);
+
+    // Where each move stands, as records that other VMs apply.
+    std::vector<std::string> state_records() const;
+    void apply(time_point now, std::vector<std::string> const& records);
+
     // The version that a request of `service` goes to.
     version_choice choose(time_point now, std::string const& service,
                           request_id const& request) const;
--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -20,9 +20,10 @@
                 [this](std::string payload)
                 { append_request_record(std::move(payload)); }),
       exchange_({options_.control.vm, options_.control.failure_domain,
-                 options_.control.incarnation, options_.usage_interval},
+                 options_.control.incarnation, options_.usage_interval,
+                 !options_.control.uses_log},
                 emit),
-      duties_(options_.duties, emit)
+      duties_(options_.duties, emit), ordered_(emit)
 {
     requests_.set_site(time_point(),
                        std::make_shared<site>(options_.settings_site));
@@ -83,9 +84,15 @@
     for (std::string& record : requests_.moves().tick(now, is_mover))
     {
         // A record that does not fit the queue is given again.
+        if (!options_.control.uses_log) // peers are told as well
+        {
+            requests_.moves().apply(now, std::vector<std::string>{record});
+            continue;
+        }
         control_.append(now, log_stream::control, std::move(record))
             .IgnoreError();
     }
+    ordered_.tick(now, is_mover, requests_.moves());
 }
 
 void node::on(time_point now, log_result const& what)
--- a/src/core/node.hpp
+++ b/src/core/node.hpp
@@ -19,6 +19,7 @@
 #include "core/control_plane.hpp"
 #include "core/event.hpp"
 #include "core/fleet_duties.hpp"
+#include "core/ordered_moves.hpp"
 #include "core/peer_exchange.hpp"
 #include "core/request_path.hpp"
 #include "core/site.hpp"
@@ -88,6 +89,14 @@
     void on(time_point now, upstream_reported const& what);
     void on(time_point now, upstream_leaving_seen const& what);
     void on(time_point now, site_read const& what);
+    void on(time_point now, version_ordered const& what)
+    {
+        ordered_.handle(now, what, requests_.moves());
+    }
+    void on(time_point now, version_move_ended const& what)
+    {
+        ordered_.handle(now, what, requests_.moves());
+    }
     void on(time_point now, duty_log_read const& what)
     {
         duties_.handle(now, what);
@@ -123,6 +132,7 @@
     request_path requests_;
     peer_exchange exchange_;
     fleet_duties duties_;
+    ordered_moves ordered_;
 };
 
 } // namespace amarantharch
--- a/src/core/peer_exchange.cpp
+++ b/src/core/peer_exchange.cpp
@@ -36,6 +36,10 @@
     {
         requests.moves().merge(now, row);
     }
+    if (!update->moves.empty())
+    {
+        requests.moves().apply(now, update->moves);
+    }
     for (quota_report const& row : update->spent)
     {
         requests.quotas().merge(now, row);
@@ -90,6 +94,10 @@
         usage.usage = requests.usage(options_.vm, options_.incarnation);
         usage.evidence =
             requests.moves().evidence(options_.vm, options_.incarnation);
+        if (options_.spreads_moves)
+        {
+            usage.moves = requests.moves().state_records();
+        }
         quota_report spent =
             requests.quotas().report(now, options_.vm, options_.incarnation);
         usage.began =
--- a/src/core/peer_exchange.hpp
+++ b/src/core/peer_exchange.hpp
@@ -29,6 +29,8 @@
     std::string failure_domain;
     std::uint64_t incarnation = 0;
     duration usage_interval = std::chrono::seconds(1);
+    // Where there is no log for them, peers tell each other where moves stand.
+    bool spreads_moves = false;
     duration news_interval = std::chrono::milliseconds(50);
     std::size_t usage_fanout = 8;
     std::size_t news_fanout = 16;
--- a/src/core/peer_update.hpp
+++ b/src/core/peer_update.hpp
@@ -39,8 +39,9 @@
     std::vector<move_evidence> evidence;  // of version moves
     std::vector<quota_report> spent;      // of quotas; one row at most
     std::vector<window_counts> began;     // requests, by windows
+    std::vector<std::string> moves;       // where version moves stand
     MSGPACK_DEFINE(usage, quarantined, leaving, handed_over, evidence, spent,
-                   began)
+                   began, moves)
 };
 
 std::string encode(peer_update const& update);
--- a/src/core/request_attempts.cpp
+++ b/src/core/request_attempts.cpp
@@ -132,10 +132,15 @@
         r.version = moves_.choose(now, r.route.service, r.request.id);
     }
     features.version = r.version.version;
+    features.avoided_version = r.version.avoided;
     auto picked = router_.choose(now, features, upstreams_, excluded);
-    if (!picked && !r.version.other.empty())
+    bool const newer = r.version.arm == version_arm::new_version;
+    if (!picked && (newer || !r.version.other.empty()) &&
+        !r.version.move.empty())
     {
         features.version = r.version.other;
+        features.avoided_version =
+            features.version.empty() ? r.version.version : std::string();
         picked = router_.choose(now, features, upstreams_, excluded);
         r.version.move.clear(); // it tells nothing of the new version
     }
--- a/src/core/routing.cpp
+++ b/src/core/routing.cpp
@@ -88,6 +88,8 @@
         upstream_row const& row = table.row(index);
         return row.takes_work(now) &&
                (what.version.empty() || row.profile.version == what.version) &&
+               (what.avoided_version.empty() ||
+                row.profile.version != what.avoided_version) &&
                std::find(exclusions.begin(), exclusions.end(), index) ==
                    exclusions.end();
     };
--- a/src/core/routing.hpp
+++ b/src/core/routing.hpp
@@ -71,7 +71,8 @@
 struct request_features
 {
     std::string service;
-    std::string version; // empty: any version
+    std::string version;         // empty: any version
+    std::string avoided_version; // never this one; empty: none is avoided
     request_class priority = request_class::standard;
     prefix_chain prefix;               // empty for plain services
     std::uint32_t prompt_tokens = 0;   // estimate
--- a/src/core/session_text.cpp
+++ b/src/core/session_text.cpp
@@ -401,6 +401,12 @@
             quoted_text(c.order.service), quoted_text(c.order.failure_domain),
             c.order.reclaimable, c.order.count, c.fence);
     }
+    std::string operator()(report_version_move const& c) const
+    {
+        return fmt::format("report_move service={} version={} state={}",
+                           quoted_text(c.service), quoted_text(c.version),
+                           name_in(move_state_names, c.state));
+    }
     std::string operator()(record_timeline const& c) const
     {
         return fmt::format("timeline kind={} request={} details={}",
--- a/src/core/version_move.cpp
+++ b/src/core/version_move.cpp
@@ -12,9 +12,6 @@
 namespace
 {
 
-constexpr std::uint32_t last_stage =
-    static_cast<std::uint32_t>(move_stages.size() - 1);
-
 // Part of the first stage's exposure that comes in pulses.
 constexpr double share_in_pulses = 0.5;
 
@@ -56,7 +53,7 @@
     }
     bool const fresh = now - heard_at_ <= options_.stage_freshness;
     std::uint32_t const stage = fresh ? stage_ : 0;
-    double const mean = move_stages[stage].share;
+    double const mean = options_.stages[stage].share;
     if (stage > 0)
     {
         return mean;
@@ -118,13 +115,18 @@
     }
     if (state == move_state::running)
     {
-        stage_ = std::max(stage_, std::min(record.stage, last_stage));
+        stage_ = std::max(stage_, std::min(record.stage, last_stage()));
         return;
     }
     state_ = state;
     reason_ = record.reason;
 }
 
+move_record version_move::state_record() const
+{
+    return record_of(state_, reason_);
+}
+
 move_evidence version_move::evidence(std::string vm, std::uint64_t incarnation)
 {
     move_evidence message;
@@ -174,7 +176,7 @@
         reason_ = worse;
         return record_of(state_, reason_);
     }
-    if (stage_ == last_stage && !last_stage_since_)
+    if (stage_ == last_stage() && !last_stage_since_)
     {
         last_stage_since_ = now;
     }
@@ -183,7 +185,7 @@
 
 std::optional<move_record> version_move::next_stage(time_point now)
 {
-    if (stage_ == last_stage)
+    if (stage_ == last_stage())
     {
         auto const soak =
             std::chrono::duration<double>(plan_.deadline - plan_.started) *
@@ -199,7 +201,8 @@
         return record_of(move_state::not_done,
                          lacked.empty() ? "time for the soak" : lacked);
     }
-    if (stage_ == last_stage || elapsed(now) < move_stages[stage_ + 1].from ||
+    if (stage_ == last_stage() ||
+        elapsed(now) < options_.stages[stage_ + 1].from ||
         !lacking(sums()).empty())
     {
         return std::nullopt;
--- a/src/core/version_move.hpp
+++ b/src/core/version_move.hpp
@@ -93,6 +93,7 @@
 
 struct move_options
 {
+    std::vector<move_stage> stages{move_stages.begin(), move_stages.end()};
     double alpha = 0.005;
     std::size_t max_cells = 32;          // further routes share the last cell
     std::uint64_t min_new_requests = 20; // of each cell, to leave a stage
@@ -157,6 +158,11 @@
     // The arm of a request: the same at every VM and for each retry.
     version_arm assign(time_point now, request_id const& id) const;
 
+    std::uint32_t last_stage() const
+    {
+        return static_cast<std::uint32_t>(options_.stages.size() - 1);
+    }
+
     // The outcome of a request's first attempt. `new_share`: share() when it
     // was assigned.
     void on_failure(std::string const& route, load_band band, version_arm arm,
@@ -179,6 +185,9 @@
 
     move_report report(time_point now) const;
 
+    // Where the move stands, to be applied at other VMs.
+    move_record state_record() const;
+
     move_plan const& plan() const
     {
         return plan_;
