Requests of one subject gather at the same engines

Each VM chose homes by the first block of a prompt, which is shared by dozens of subjects, so VMs gathered one subject at different engines. Now by the end of the last part but one. Ruled out: a larger cache model, it held all blocks.

--- a/src/core/prefix_cache.cpp
+++ b/src/core/prefix_cache.cpp
@@ -36,14 +36,36 @@
     return chain;
 }
 
+namespace
+{
+
+// Blocks of a part; the last one may be short.
+std::size_t blocks_of(prompt_part const& part)
+{
+    return (part.tokens + tokens_per_block - 1) / tokens_per_block;
+}
+
+} // namespace
+
+block_hash shared_end(std::vector<prompt_part> const& parts,
+                      prefix_chain const& chain)
+{
+    std::size_t blocks = 0;
+    for (std::size_t i = 0; i + 1 < parts.size(); ++i)
+    {
+        blocks += blocks_of(parts[i]);
+    }
+    blocks = std::min(blocks, chain.size());
+    return blocks == 0 ? 0 : chain[blocks - 1];
+}
+
 prefix_chain chain_of(std::vector<prompt_part> const& parts)
 {
     prefix_chain chain;
     std::uint64_t previous = 0;
     for (prompt_part const& part : parts)
     {
-        std::size_t const blocks =
-            (part.tokens + tokens_per_block - 1) / tokens_per_block;
+        std::size_t const blocks = blocks_of(part);
         for (std::size_t i = 0; i < blocks; ++i)
         {
             if (chain.size() == max_chain_blocks)
--- a/src/core/prefix_cache.hpp
+++ b/src/core/prefix_cache.hpp
@@ -45,6 +45,11 @@
 // equal leading blocks. A part's last block may be short.
 prefix_chain chain_of(std::vector<prompt_part> const& parts);
 
+// The last block that requests of one subject share: the end of the last part
+// but one, since the last part is the request's own. 0 if there is none.
+block_hash shared_end(std::vector<prompt_part> const& parts,
+                      prefix_chain const& chain);
+
 // What an upstream published about its cache. `sequence` grows by one with
 // each message of an upstream's incarnation; a jump is a gap.
 struct cache_events
--- a/src/core/request_attempts.cpp
+++ b/src/core/request_attempts.cpp
@@ -50,6 +50,8 @@
         features.prefix = r.request.terms.size
                               ? chain_of(r.request.terms.prompt)
                               : hash_prefix(r.request.body);
+        features.gather_by =
+            shared_end(r.request.terms.prompt, features.prefix);
         features.prompt_tokens = prompt_tokens(r);
         features.expected_output = expected_output(r);
     }
--- a/src/core/routing.cpp
+++ b/src/core/routing.cpp
@@ -123,7 +123,8 @@
     };
     if (!what.prefix.empty())
     {
-        walk(what.prefix.front(), options_.home_candidates, true);
+        walk(what.gather_by != 0 ? what.gather_by : what.prefix.front(),
+             options_.home_candidates, true);
     }
     walk(options_.seed * 0x9E3779B97F4A7C15u, options_.max_candidates, false);
 }
--- a/src/core/routing.hpp
+++ b/src/core/routing.hpp
@@ -74,7 +74,10 @@
     std::string version;         // empty: any version
     std::string avoided_version; // never this one; empty: none is avoided
     request_class priority = request_class::standard;
-    prefix_chain prefix;               // empty for plain services
+    prefix_chain prefix; // empty for plain services
+    // Requests with an equal one gather at the same upstreams; 0: by the first
+    // block of the prefix.
+    block_hash gather_by = 0;
     std::uint32_t prompt_tokens = 0;   // estimate
     std::uint32_t expected_output = 0; // tokens, estimate
 };
