--- a/src/core/routing_test.cpp
+++ b/src/core/routing_test.cpp
@@ -162,6 +162,37 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(requests_of_one_subject)
+
+BOOST_AUTO_TEST_CASE(gather_at_the_same_engine_from_every_vm)
+{
+    upstream_table const table = fleet_of(18);
+    int alike = 0;
+    for (std::uint64_t subject = 2; subject < 102; ++subject)
+    {
+        std::vector<prompt_part> const parts{
+            {1, 512}, {subject, 4'800}, {1'000 + subject, 1'200}};
+        request_features what;
+        what.service = std::string("drafting");
+        what.prefix = chain_of(parts);
+        what.gather_by = shared_end(parts, what.prefix);
+        what.prompt_tokens = 6'512;
+        std::vector<upstream_index> chosen;
+        for (std::uint64_t seed : {1, 2, 3})
+        {
+            routing_options options;
+            options.seed = seed;
+            router one(options);
+            chosen.push_back(
+                one.choose(from_micros(1'000'000), what, table, {})->upstream);
+        }
+        alike += chosen[0] == chosen[1] && chosen[1] == chosen[2] ? 1 : 0;
+    }
+    BOOST_TEST(alike == 100);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(a_lagging_report)
 
 BOOST_AUTO_TEST_CASE(is_corrected_for_what_was_sent_and_done_since)
@@ -211,6 +242,22 @@
     BOOST_TEST(cache.predicted_blocks(2, a) == 0u);
 }
 
+BOOST_AUTO_TEST_CASE(knows_prompts_by_their_parts)
+{
+    std::vector<prompt_part> const a{{1, 100}, {2, 640}, {3, 200}};
+    std::vector<prompt_part> const b{{1, 100}, {2, 640}, {4, 64}};
+    std::vector<prompt_part> const c{{1, 100}, {5, 640}, {3, 200}};
+    prefix_cache cache;
+    cache.on_sent(0, chain_of(a));
+    BOOST_TEST(cache.predicted_blocks(0, chain_of(a)) == 16u); // 2 + 10 + 4
+    BOOST_TEST(cache.predicted_blocks(0, chain_of(b)) == 12u);
+    BOOST_TEST(cache.predicted_blocks(0, chain_of(c)) == 2u);
+    BOOST_TEST(shared_end(a, chain_of(a)) == shared_end(b, chain_of(b)));
+    BOOST_TEST(shared_end(a, chain_of(a)) != shared_end(c, chain_of(c)));
+    BOOST_TEST(shared_end({{1, 100}}, chain_of({{1, 100}})) == 0u);
+    BOOST_TEST(shared_end({}, {}) == 0u);
+}
+
 BOOST_AUTO_TEST_CASE(stays_in_its_budgets_and_evicts_ends_of_old_prefixes)
 {
     prefix_cache cache(12);
