--- a/src/app/platform_mode.cpp
+++ b/src/app/platform_mode.cpp
@@ -21,7 +21,7 @@
 // Share of the fleet's repeats that VMs use together: the rest is a margin for
 // counting in other windows.
 constexpr double retry_margin = 0.7;
-// VMs that share the repeats beyond the ratio while none has been heard.
+// VMs that share the repeats beyond the ratio until the platform lists them.
 constexpr double assumed_vms = 12;
 // The holder of duties writes a record each usage window; it is replaced when
 // it is silent for so much longer.
@@ -75,10 +75,12 @@
     options.crash_quorum = crash_quorum;
     options.engine_prefill_tokens_per_ms = engine_prefill_tokens_per_ms;
     options.unrun_status = service_unavailable;
+    options.quarantined_status = service_unavailable;
     // What upstreams bear is decided by routing; the limit does not shrink.
     options.admission.limit.late_share = 1;
     options.retries.ratio = process.retry_ratio * retry_margin;
-    options.retries.cap = process.retry_extra * retry_margin / assumed_vms;
+    options.fleet_retry_cap = process.retry_extra * retry_margin;
+    options.retries.cap = options.fleet_retry_cap / assumed_vms;
     options.retries.initial = options.retries.cap;
     options.quotas.window = process.quota_window;
     options.quotas.overshoot = process.quota_overshoot;
--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -113,7 +113,7 @@
 void node::on(time_point now, members_listed const& what)
 {
     control_.apply_vm_list(now, what.members);
-    requests_.quotas().set_fleet_size(what.members.size() + 1);
+    requests_.set_fleet_size(what.members.size() + 1);
 }
 
 void node::on(time_point, upstream_reported const& what)
--- a/src/core/request_attempts.cpp
+++ b/src/core/request_attempts.cpp
@@ -86,7 +86,8 @@
     r.alone = decision == quarantine_decision::run_alone;
     if (decision == quarantine_decision::refuse)
     {
-        refuse(now, r, 422, "quarantined", duration::zero());
+        refuse(now, r, options_.quarantined_status, "quarantined",
+               duration::zero());
         return true;
     }
     if (decision == quarantine_decision::hold)
--- a/src/core/request_path.cpp
+++ b/src/core/request_path.cpp
@@ -102,6 +102,15 @@
     }
 }
 
+void request_path::set_fleet_size(std::size_t vms)
+{
+    quotas_.set_fleet_size(vms);
+    if (options_.fleet_retry_cap > 0)
+    {
+        retries_.set_cap(options_.fleet_retry_cap / static_cast<double>(vms));
+    }
+}
+
 // The limit on requests in flight begins at, and never exceeds, what the
 // service's upstreams can run together.
 admission_options request_path::admission_for(std::string const& service) const
--- a/src/core/request_path.hpp
+++ b/src/core/request_path.hpp
@@ -86,6 +86,11 @@
     shared_quota_options quotas;
     // Length of the windows that usage is counted in; 0: it is not.
     duration usage_window{};
+    // The answer to a request that is known to crash upstreams.
+    int quarantined_status = 422;
+    // Repeats beyond the ratio that all VMs together may save up; 0: each VM
+    // has the cap of `retries` for itself.
+    double fleet_retry_cap = 0;
     // Upstreams are taken for crashed only if at least so many connections
     // were lost together.
     std::size_t crash_quorum = 1;
@@ -104,6 +109,9 @@
     // Decides by `tables` from now on; requests in progress keep their route.
     void set_site(time_point now, std::shared_ptr<site const> tables);
 
+    // VMs of the fleet as the platform lists them, this one included.
+    void set_fleet_size(std::size_t vms);
+
     // The tables in force.
     site const& tables() const
     {
--- a/src/core/retry_budget.cpp
+++ b/src/core/retry_budget.cpp
@@ -113,6 +113,16 @@
     return known == services_.end() ? options_.initial : known->second.balance;
 }
 
+void retry_budget::set_cap(double cap)
+{
+    options_.cap = cap;
+    options_.initial = std::min(options_.initial, cap);
+    for (auto& [service, row] : services_)
+    {
+        row.balance = std::min(row.balance, cap);
+    }
+}
+
 retry_budget::service_row& retry_budget::row_of(std::string const& service)
 {
     auto const [place, added] = services_.try_emplace(service);
--- a/src/core/retry_budget.hpp
+++ b/src/core/retry_budget.hpp
@@ -116,6 +116,9 @@
 
     double balance(std::string const& service) const;
 
+    // Bounds what each service may save up from now on.
+    void set_cap(double cap);
+
 private:
     struct service_row
     {
--- a/src/core/retry_budget_test.cpp
+++ b/src/core/retry_budget_test.cpp
@@ -29,6 +29,26 @@
 
 BOOST_AUTO_TEST_SUITE(retries)
 
+// VMs share what the fleet may repeat beyond the ratio.
+BOOST_AUTO_TEST_CASE(are_bounded_anew_when_the_fleet_grows)
+{
+    retry_budget_options options;
+    options.cap = 20;
+    options.initial = 20;
+    retry_budget budget(options);
+    BOOST_TEST((budget.ask(start, question()).answer == retry_answer::allowed));
+    budget.set_cap(2);
+    BOOST_TEST(budget.balance("drafting") == 2);
+    int allowed = 0;
+    for (int i = 0; i < 10; ++i)
+    {
+        allowed += budget.ask(start, question()).answer == retry_answer::allowed
+                       ? 1
+                       : 0;
+    }
+    BOOST_TEST(allowed == 2);
+}
+
 BOOST_AUTO_TEST_CASE(are_allowed_only_where_the_verdict_permits)
 {
     struct row
