--- a/src/core/routing_test.cpp
+++ b/src/core/routing_test.cpp
@@ -178,7 +178,7 @@
         what.gather_by = shared_end(parts, what.prefix);
         what.prompt_tokens = 6'512;
         std::vector<upstream_index> chosen;
-        for (std::uint64_t seed : {1, 2, 3})
+        for (std::uint64_t const seed : {1u, 2u, 3u})
         {
             routing_options options;
             options.seed = seed;
--- a/src/core/version_move.cpp
+++ b/src/core/version_move.cpp
@@ -31,7 +31,8 @@
 } // namespace
 
 version_move::version_move(move_plan plan, move_options options)
-    : plan_(std::move(plan)), options_(options), heard_at_(plan_.started)
+    : plan_(std::move(plan)), options_(std::move(options)),
+      heard_at_(plan_.started)
 {
 }
 
