Capacity follows the work that callers offer; use of quotas reaches every VM in time

Now VMs tell the holder of the duties what work they admit, and the plan follows it, by what an engine with its number of slots does in a second. Each kind of news now goes to those that decide by it, the use of quotas to all within 750 ms.

--- a/src/core/capacity_plan.cpp
+++ b/src/core/capacity_plan.cpp
@@ -24,19 +24,81 @@
     return count;
 }
 
-std::vector<upstream_order>
-capacity_plan::due(time_point now, site const& tables,
-                   upstream_table const& upstreams) const
+// What one of a service's upstreams does in time, by its mean slots.
+double capacity_plan::tokens_per_second(upstream_table const& upstreams,
+                                        std::string const& service) const
+{
+    double slots = 0;
+    auto const& present = upstreams.ring(service);
+    for (auto const& point : present)
+    {
+        slots += upstreams.row(point.upstream).profile.slots;
+    }
+    slots /= static_cast<double>(std::max<std::size_t>(present.size(), 1));
+    return options_.most_tokens_per_second * slots /
+           (slots + options_.half_slots);
+}
+
+// Upstreams that are to run in each domain, of both kinds.
+std::uint32_t capacity_plan::plan_each(time_point now,
+                                       scaling_spec const& scaling,
+                                       upstream_table const& upstreams,
+                                       service_demand const& demand)
+{
+    std::uint32_t& each = each_[scaling.service];
+    auto const rate = demand.rate(now, scaling.service);
+    if (!rate)
+    {
+        if (each > 0)
+        {
+            return each;
+        }
+        // A domain that has just lost its upstreams says nothing of the need.
+        for (auto const& [domain, price] : scaling.prices)
+        {
+            each = std::max(
+                each, serving(upstreams, scaling.service, domain, true) +
+                          serving(upstreams, scaling.service, domain, false));
+        }
+    }
+    else
+    {
+        double const needed = *rate /
+                              tokens_per_second(upstreams, scaling.service) /
+                              static_cast<double>(scaling.prices.size());
+        if (needed > each || needed < each * options_.shrink_below)
+        {
+            each = static_cast<std::uint32_t>(std::ceil(needed));
+        }
+    }
+    each = std::clamp(each, scaling.least, scaling.most);
+    return each;
+}
+
+std::uint32_t capacity_plan::planned_each(std::string const& service) const
+{
+    auto const known = each_.find(service);
+    return known == each_.end() ? 0 : known->second;
+}
+
+std::vector<upstream_order> capacity_plan::due(time_point now,
+                                               site const& tables,
+                                               upstream_table const& upstreams,
+                                               service_demand const& demand)
 {
     std::vector<upstream_order> orders;
     for (scaling_spec const& scaling : tables.scalings)
     {
-        std::uint32_t const floor =
-            std::clamp(options_.others_each, scaling.least, scaling.most);
+        if (upstreams.ring(scaling.service).empty())
+        {
+            continue; // not listed yet
+        }
+        std::uint32_t const each = plan_each(now, scaling, upstreams, demand);
         bool const cheaper = scaling.reclaimable_price < 1;
-        std::uint32_t const wanted =
-            cheaper ? std::min(options_.reclaimable_each, scaling.most - floor)
-                    : 0;
+        auto const others =
+            static_cast<std::uint32_t>(std::ceil(each * options_.others_share));
+        std::uint32_t const floor = cheaper ? others : each;
+        std::uint32_t const wanted = each - floor;
         for (auto const& [domain, price] : scaling.prices)
         {
             std::uint32_t const cheap =
@@ -52,11 +114,10 @@
             std::uint32_t const missing = wanted - std::min(wanted, cheap);
             auto const stand_ins = static_cast<std::uint32_t>(
                 std::ceil(missing * options_.stand_ins));
-            std::uint32_t const others =
+            std::uint32_t const kept =
                 missing > 0 ? std::max(floor + stand_ins, dear) : floor;
-            upstream_order const second{
-                scaling.service, domain, false,
-                std::min(others, scaling.most - wanted)};
+            upstream_order const second{scaling.service, domain, false,
+                                        std::min(kept, scaling.most - wanted)};
             if (is_due(now, second, dear, scaling.boot_time))
             {
                 orders.push_back(second);
@@ -104,6 +165,7 @@
 void capacity_plan::forget()
 {
     rows_.clear();
+    each_.clear();
 }
 
 } // namespace amarantharch
--- a/src/core/capacity_plan.hpp
+++ b/src/core/capacity_plan.hpp
@@ -1,5 +1,10 @@
 // Decides how many upstreams of each kind run in each failure domain.
 //
+// The number follows the work that callers offer, by what one upstream does in
+// a second. Before that is known, as many run as do now. It is raised at once
+// and lowered only when much fewer would do, since an upstream that starts anew
+// has an empty cache.
+//
 // Reclaimable upstreams cost a fraction of the others, but all of a failure
 // domain's go at once, on seconds of notice, and none may be had anywhere for a
 // while. So the plan spreads them evenly over the domains, keeps a floor of
@@ -11,11 +16,12 @@
 // after a reclaim the platform does not start them again by itself.
 //
 // Load it answers: reclaims of one domain after the other, with none to be had
-// between them.
+// between them; a fleet of any size.
 // Cost: O(upstreams) a decision.
 #ifndef AMARANTHARCH_CORE_CAPACITY_PLAN_HPP
 #define AMARANTHARCH_CORE_CAPACITY_PLAN_HPP
 
+#include "core/service_demand.hpp"
 #include "core/site.hpp"
 #include "core/time.hpp"
 #include "core/upstream_table.hpp"
@@ -42,9 +48,17 @@
 
 struct capacity_plan_options
 {
-    // Reclaimable upstreams in each domain, and others beside them.
-    std::uint32_t reclaimable_each = 4;
-    std::uint32_t others_each = 1;
+    // Work that one upstream with any number of slots would do in time, in
+    // charged_tokens() a second, with room for a burst; from the step and
+    // prefill times on the users' sheets.
+    double most_tokens_per_second = 3'300;
+    // With so many slots it does half of that: a step takes as long for a small
+    // batch as for a large one, but for 0.1 ms a request.
+    double half_slots = 13;
+    // Share of a domain's upstreams that are not reclaimable.
+    double others_share = 0.2;
+    // Fewer are ordered only if this share of the number would do.
+    double shrink_below = 0.75;
     // Others in the place of each reclaimable one that is missing: what is
     // left in the other domains bears most of the load.
     double stand_ins = 0.75;
@@ -60,9 +74,13 @@
 public:
     explicit capacity_plan(capacity_plan_options options) : options_(options) {}
 
-    // The orders that are due, by what runs now.
+    // The orders that are due, by what runs now and what is asked for.
     std::vector<upstream_order> due(time_point now, site const& tables,
-                                    upstream_table const& upstreams) const;
+                                    upstream_table const& upstreams,
+                                    service_demand const& demand);
+
+    // Upstreams of a service in each domain, as last planned; 0: not planned.
+    std::uint32_t planned_each(std::string const& service) const;
 
     // An order was sent; its answer comes later.
     void sent(time_point now, upstream_order const& order);
@@ -86,6 +104,11 @@
         return {order.service, order.failure_domain, order.reclaimable};
     }
 
+    std::uint32_t plan_each(time_point now, scaling_spec const& scaling,
+                            upstream_table const& upstreams,
+                            service_demand const& demand);
+    double tokens_per_second(upstream_table const& upstreams,
+                             std::string const& service) const;
     bool is_due(time_point now, upstream_order const& order,
                 std::uint32_t serving, duration boot_time) const;
     static std::uint32_t serving(upstream_table const& upstreams,
@@ -94,6 +117,7 @@
 
     capacity_plan_options options_;
     std::map<subject, row> rows_;
+    std::map<std::string, std::uint32_t> each_; // by service
 };
 
 } // namespace amarantharch
--- a/src/core/capacity_plan_test.cpp
+++ b/src/core/capacity_plan_test.cpp
@@ -29,8 +29,36 @@
     return result;
 }
 
+// Work that five upstreams in each of two domains do.
+constexpr std::uint64_t work_of_ten = 17'500;
+
 struct world
 {
+    explicit world(std::uint64_t tokens_per_second = work_of_ten)
+    {
+        upstreams.put(profile("asan", false, 0));
+        offer(tokens_per_second, seconds(60));
+    }
+
+    // Lets callers offer that much from now on, and `span` pass.
+    void offer(std::uint64_t tokens_per_second, duration span)
+    {
+        offered = tokens_per_second;
+        for (time_point const end = now + span; now < end; now += seconds(1))
+        {
+            take_work();
+        }
+    }
+
+    void take_work()
+    {
+        if (offered > 0)
+        {
+            demand.admitted(now, "pool", offered);
+        }
+        demand.tick(now);
+    }
+
     // Starts and ends upstreams as ordered.
     void carry_out(upstream_order const& order)
     {
@@ -63,8 +91,9 @@
     {
         for (time_point const end = now + span; now < end; now += seconds(1))
         {
+            take_work();
             for (upstream_order const& order :
-                 plan.due(now, tables(), upstreams))
+                 plan.due(now, tables(), upstreams, demand))
             {
                 carry_out(order);
             }
@@ -95,6 +124,8 @@
     }
 
     capacity_plan plan{capacity_plan_options{}};
+    service_demand demand;
+    std::uint64_t offered = 0; // a second
     upstream_table upstreams;
     time_point now = start;
     bool dry = false; // no reclaimable ones are to be had
@@ -111,7 +142,7 @@
     {
         w.upstreams.put(world::profile("asan", false, i));
     }
-    auto const first = w.plan.due(w.now, tables(), w.upstreams);
+    auto const first = w.plan.due(w.now, tables(), w.upstreams, w.demand);
     bool const takes_any_away =
         std::any_of(first.begin(), first.end(),
                     [](upstream_order const& order)
@@ -124,7 +155,7 @@
     w.settle(seconds(20));
     BOOST_TEST(w.running("asan", true) == 4u);
     BOOST_TEST(w.running("asan", false) == 1u);
-    BOOST_TEST(w.plan.due(w.now, tables(), w.upstreams).empty());
+    BOOST_TEST(w.plan.due(w.now, tables(), w.upstreams, w.demand).empty());
 }
 
 BOOST_AUTO_TEST_CASE(puts_others_in_the_place_of_reclaimed_ones)
@@ -160,12 +191,55 @@
     site same = tables();
     same.scalings[0].reclaimable_price = 1;
     world w;
-    for (upstream_order const& order : w.plan.due(w.now, same, w.upstreams))
+    for (upstream_order const& order :
+         w.plan.due(w.now, same, w.upstreams, w.demand))
     {
         BOOST_TEST((!order.reclaimable || order.count == 0));
     }
 }
 
+BOOST_AUTO_TEST_SUITE(sized_by_the_work_that_callers_offer)
+
+BOOST_AUTO_TEST_CASE(grows_with_it_up_to_what_may_be_ordered)
+{
+    world w(work_of_ten / 2);
+    w.settle(seconds(20));
+    BOOST_TEST(w.running("asan", true) + w.running("asan", false) == 3u);
+    w.offer(work_of_ten, seconds(20));
+    w.settle(seconds(20));
+    BOOST_TEST(w.running("asan", true) + w.running("asan", false) == 5u);
+    w.offer(10 * work_of_ten, seconds(20));
+    w.settle(seconds(20));
+    BOOST_TEST(w.running("asan", true) + w.running("asan", false) == 10u);
+}
+
+BOOST_AUTO_TEST_CASE(does_not_shrink_between_two_waves)
+{
+    world w;
+    w.settle(seconds(20));
+    w.offer(work_of_ten * 6 / 10, seconds(10));
+    w.settle(seconds(5));
+    BOOST_TEST(w.running("patan", true) + w.running("patan", false) == 5u);
+    w.offer(work_of_ten / 6, seconds(240));
+    w.settle(seconds(20));
+    BOOST_TEST(w.running("patan", true) + w.running("patan", false) == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(keeps_what_runs_until_it_is_known)
+{
+    world w(0);
+    for (std::uint32_t i = 0; i < 8; ++i)
+    {
+        w.upstreams.put(world::profile("asan", false, i));
+        w.upstreams.put(world::profile("patan", false, i));
+    }
+    w.settle(seconds(20));
+    BOOST_TEST(w.running("asan", true) + w.running("asan", false) == 8u);
+    BOOST_TEST(w.running("patan", true) == 6u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace amarantharch
--- a/src/core/fleet_duties.cpp
+++ b/src/core/fleet_duties.cpp
@@ -29,7 +29,8 @@
     std::vector<upstream_order> orders;
     if (log_.holds())
     {
-        orders = plan_.due(now, requests.tables(), requests.upstreams());
+        orders = plan_.due(now, requests.tables(), requests.upstreams(),
+                           requests.demand());
     }
     log_.tick(now, watches, !orders.empty(), requests.begun(),
               [this](duty_request const& what)
@@ -43,7 +44,10 @@
             emit_(order_upstreams{order, *fence});
             emit_(record_timeline{
                 "upstreams_ordered", "",
-                fmt::format("{} fence={}", describe(order), *fence)});
+                fmt::format(
+                    "{} fence={} planned_each={} tokens_per_s={:.0f}",
+                    describe(order), *fence, plan_.planned_each(order.service),
+                    requests.demand().rate(now, order.service).value_or(0))});
         }
     }
     note_change();
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -643,6 +643,30 @@
     return rank < count;
 }
 
+std::vector<std::string> membership::others_among(std::string_view purpose,
+                                                  std::size_t count) const
+{
+    std::vector<std::pair<std::uint64_t, std::string>> ranked;
+    for (auto const& [vm, row] : members_)
+    {
+        if (row.state() == member_state::live)
+        {
+            ranked.emplace_back(rendezvous(purpose, vm), vm);
+        }
+    }
+    bool const own = is_among(purpose, count);
+    std::size_t const wanted = std::min(ranked.size(), count - (own ? 1 : 0));
+    std::partial_sort(ranked.begin(),
+                      ranked.begin() + static_cast<std::ptrdiff_t>(wanted),
+                      ranked.end(), std::greater<>());
+    std::vector<std::string> chosen;
+    for (std::size_t i = 0; i < wanted; ++i)
+    {
+        chosen.push_back(std::move(ranked[i].second));
+    }
+    return chosen;
+}
+
 std::vector<member_change> membership::take_changes()
 {
     return std::exchange(changes_, {});
--- a/src/core/membership.hpp
+++ b/src/core/membership.hpp
@@ -175,6 +175,9 @@
     // the same members, and little moves when one leaves. Grants nothing.
     // O(members) after a change of the members, else O(log purposes).
     bool is_among(std::string_view purpose, std::size_t count) const;
+    // The other VMs among those `count`. O(members).
+    std::vector<std::string> others_among(std::string_view purpose,
+                                          std::size_t count) const;
 
     // Changes since the last call, in order.
     std::vector<member_change> take_changes();
--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -5,14 +5,6 @@
 namespace amarantharch
 {
 
-namespace
-{
-
-// VMs that look after the holder of the fleet's duties.
-constexpr std::size_t duty_watchers = 3;
-
-} // namespace
-
 node::node(node_options options, command_sink const& emit)
     : options_(std::move(options)),
       control_(options_.control, emit, control_handlers()),
@@ -78,9 +70,9 @@
     control_.tick(now);
     requests_.tick(now);
     exchange_.tick(now, control_.members(), requests_);
-    duties_.tick(now, control_.members().is_among("duties", duty_watchers),
-                 requests_);
-    bool const is_mover = control_.members().is_among("mover", 1);
+    membership const& members = control_.members();
+    duties_.tick(now, members.is_among(duty_purpose, duty_watchers), requests_);
+    bool const is_mover = members.is_among(duty_purpose, 1);
     for (std::string& record : requests_.moves().tick(now, is_mover))
     {
         // A record that does not fit the queue is given again.
--- a/src/core/peer_exchange.cpp
+++ b/src/core/peer_exchange.cpp
@@ -1,5 +1,6 @@
 #include "core/peer_exchange.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace amarantharch
@@ -44,6 +45,10 @@
     {
         requests.quotas().merge(now, row);
     }
+    for (demand_report const& row : update->demand)
+    {
+        requests.demand().merge(now, row);
+    }
     for (window_counts const& row : update->began)
     {
         requests.begun().merge(now, row);
@@ -78,7 +83,8 @@
         if (any)
         {
             news_due_ = now + options_.news_interval;
-            send(next_peers(members, options_.news_fanout), news);
+            send(next_peers(members, options_.news_fanout, next_news_peer_),
+                 news);
         }
     }
     peer_update last;
@@ -90,31 +96,56 @@
     if (now >= usage_due_)
     {
         usage_due_ = now + options_.usage_interval;
-        peer_update usage;
-        usage.usage = requests.usage(options_.vm, options_.incarnation);
-        usage.evidence =
-            requests.moves().evidence(options_.vm, options_.incarnation);
-        if (options_.spreads_moves)
-        {
-            usage.moves = requests.moves().state_records();
-        }
-        quota_report spent =
-            requests.quotas().report(now, options_.vm, options_.incarnation);
-        usage.began =
-            requests.begun().report(now, options_.vm, options_.incarnation);
-        bool const counts = !spent.spent.empty();
-        if (counts)
-        {
-            usage.spent.push_back(std::move(spent));
-        }
-        if (counts || !usage.began.empty() || !usage.usage.empty() ||
-            !usage.evidence.empty())
-        {
-            send(next_peers(members, options_.usage_fanout), usage);
-        }
+        tell_usage(now, members, requests);
     }
 }
 
+// Tells peers what this VM has served and admitted. In a small fleet one
+// message says all to everyone. In a larger one each part goes to those that
+// decide by it: counts to the VMs with the fleet's duties, the use of quotas to
+// all in turn within quota_interval, the rest to a few in turn.
+void peer_exchange::tell_usage(time_point now, membership const& members,
+                               request_path& requests)
+{
+    peer_update shares;
+    shares.usage = requests.usage(options_.vm, options_.incarnation);
+    shares.evidence =
+        requests.moves().evidence(options_.vm, options_.incarnation);
+    if (options_.spreads_moves)
+    {
+        shares.moves = requests.moves().state_records();
+    }
+    peer_update counts;
+    counts.began =
+        requests.begun().report(now, options_.vm, options_.incarnation);
+    counts.demand = {
+        requests.demand().report(options_.vm, options_.incarnation)};
+    peer_update quotas;
+    quotas.spent = {
+        requests.quotas().report(now, options_.vm, options_.incarnation)};
+    std::vector<std::string> const peers = reachable(members);
+    if (peers.size() <= options_.usage_fanout)
+    {
+        shares.began = std::move(counts.began);
+        shares.demand = std::move(counts.demand);
+        shares.spent = std::move(quotas.spent);
+        send(peers, shares);
+        return;
+    }
+    send(next_peers(members, options_.usage_fanout, next_usage_peer_), shares);
+    send(next_peers(members, quota_fanout(peers.size()), next_quota_peer_),
+         quotas);
+    counts.evidence = std::move(shares.evidence);
+    send(members.others_among(duty_purpose, duty_watchers), counts);
+}
+
+std::size_t peer_exchange::quota_fanout(std::size_t peers) const
+{
+    auto const turns = static_cast<std::size_t>(std::max<std::int64_t>(
+        options_.quota_interval / options_.usage_interval, 1));
+    return std::min((peers + turns - 1) / turns, options_.max_quota_fanout);
+}
+
 // Up to `count` live members, those of other failure domains first.
 std::vector<std::string>
 peer_exchange::peers_elsewhere(membership const& members,
@@ -137,9 +168,8 @@
     return chosen;
 }
 
-// The next `count` live members in rotation, or all if there are fewer.
-std::vector<std::string> peer_exchange::next_peers(membership const& members,
-                                                   std::size_t count)
+// The members that may hear this VM.
+std::vector<std::string> peer_exchange::reachable(membership const& members)
 {
     std::vector<std::string> live;
     for (auto const& [vm, row] : members.members())
@@ -150,6 +180,15 @@
             live.push_back(vm);
         }
     }
+    return live;
+}
+
+// The next `count` of them in rotation, or all if there are fewer.
+std::vector<std::string> peer_exchange::next_peers(membership const& members,
+                                                   std::size_t count,
+                                                   std::size_t& turn)
+{
+    std::vector<std::string> live = reachable(members);
     if (live.size() <= count)
     {
         return live;
@@ -157,7 +196,7 @@
     std::vector<std::string> chosen;
     for (std::size_t i = 0; i < count; ++i)
     {
-        chosen.push_back(live[next_peer_++ % live.size()]);
+        chosen.push_back(live[turn++ % live.size()]);
     }
     return chosen;
 }
--- a/src/core/peer_exchange.hpp
+++ b/src/core/peer_exchange.hpp
@@ -18,6 +18,7 @@
 #include <cstdint>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace amarantharch
@@ -34,8 +35,17 @@
     duration news_interval = std::chrono::milliseconds(50);
     std::size_t usage_fanout = 8;
     std::size_t news_fanout = 16;
+    // Each peer hears this VM's use of quotas so often, up to a number of
+    // messages in one usage_interval: half of shared_quota's silence.
+    duration quota_interval = std::chrono::milliseconds(750);
+    std::size_t max_quota_fanout = 64;
 };
 
+// What the fleet's duties go by falls to the VMs among `duty_watchers` of this
+// purpose; the first of them also moves versions.
+inline constexpr std::string_view duty_purpose = "duties";
+inline constexpr std::size_t duty_watchers = 3;
+
 class peer_exchange
 {
 public:
@@ -53,8 +63,12 @@
               request_path& requests);
 
 private:
-    std::vector<std::string> next_peers(membership const& members,
-                                        std::size_t count);
+    static std::vector<std::string>
+    next_peers(membership const& members, std::size_t count, std::size_t& turn);
+    static std::vector<std::string> reachable(membership const& members);
+    std::size_t quota_fanout(std::size_t peers) const;
+    void tell_usage(time_point now, membership const& members,
+                    request_path& requests);
     std::vector<std::string> peers_elsewhere(membership const& members,
                                              std::size_t count) const;
     void send(std::vector<std::string> const& peers, peer_update const& update);
@@ -63,7 +77,10 @@
     command_sink emit_;
     std::set<std::string> known_leaving_;
     std::vector<std::string> unsent_leaving_;
-    std::size_t next_peer_ = 0;
+    // The places in the rotation of peers, for each kind of message.
+    std::size_t next_news_peer_ = 0;
+    std::size_t next_usage_peer_ = 0;
+    std::size_t next_quota_peer_ = 0;
     time_point usage_due_{};
     time_point news_due_{};
 };
--- a/src/core/peer_update.hpp
+++ b/src/core/peer_update.hpp
@@ -7,6 +7,7 @@
 
 #include "core/admission.hpp"
 #include "core/quarantine.hpp"
+#include "core/service_demand.hpp"
 #include "core/shared_quota.hpp"
 #include "core/usage_windows.hpp"
 #include "core/version_move.hpp"
@@ -40,8 +41,9 @@
     std::vector<quota_report> spent;      // of quotas; one row at most
     std::vector<window_counts> began;     // requests, by windows
     std::vector<std::string> moves;       // where version moves stand
+    std::vector<demand_report> demand;    // of services; one row at most
     MSGPACK_DEFINE(usage, quarantined, leaving, handed_over, evidence, spent,
-                   began, moves)
+                   began, moves, demand)
 };
 
 std::string encode(peer_update const& update);
--- a/src/core/request_path.cpp
+++ b/src/core/request_path.cpp
@@ -105,6 +105,7 @@
 void request_path::set_fleet_size(std::size_t vms)
 {
     quotas_.set_fleet_size(vms);
+    demand_.set_fleet_size(vms);
     if (options_.fleet_retry_cap > 0)
     {
         retries_.set_cap(options_.fleet_retry_cap / static_cast<double>(vms));
@@ -348,6 +349,7 @@
     asked.tokens = charged_tokens(prompt_tokens(r), expected_output(r));
     asked.bytes = r.request.body.size();
     asked.deadline = r.deadline;
+    demand_.admitted(now, r.route.service, asked.tokens);
     admission_result const result =
         admission_of(r.route.service).offer(now, asked);
     for (refused_request const& given_up : result.given_up)
@@ -661,6 +663,7 @@
     present_ = now;
     ledger_.tick(now);
     quarantine_.tick(now);
+    demand_.tick(now);
     bool const last_moment = stop_by_ && now >= *stop_by_ - stop_margin;
     std::vector<request_id> expired;
     std::vector<request_id> due;
--- a/src/core/request_path.hpp
+++ b/src/core/request_path.hpp
@@ -33,6 +33,7 @@
 #include "core/quarantine.hpp"
 #include "core/retry_budget.hpp"
 #include "core/routing.hpp"
+#include "core/service_demand.hpp"
 #include "core/shared_quota.hpp"
 #include "core/site.hpp"
 #include "core/stream_relay.hpp"
@@ -179,6 +180,10 @@
     {
         return quotas_;
     }
+    service_demand& demand()
+    {
+        return demand_;
+    }
     usage_windows& begun()
     {
         return begun_;
@@ -338,6 +343,7 @@
     move_table moves_;
     shared_quota quotas_;
     usage_windows begun_;
+    service_demand demand_;
     quarantine quarantine_;
     crash_detector crashes_;
     // Upstreams that run one suspect alone: none else is sent there.
--- /dev/null
+++ b/src/core/service_demand.cpp
@@ -0,0 +1,145 @@
+#include "core/service_demand.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace amarantharch
+{
+
+namespace
+{
+
+double seconds_between(time_point from, time_point to)
+{
+    return std::chrono::duration<double>(to - from).count();
+}
+
+} // namespace
+
+void service_demand::admitted(time_point now, std::string const& service,
+                              std::uint64_t tokens)
+{
+    auto const [place, added] = own_.try_emplace(service);
+    if (added)
+    {
+        place->second.sampled_at = now;
+    }
+    place->second.tokens += tokens;
+    estimates_.try_emplace(service, estimate{now, 0});
+}
+
+void service_demand::sample(time_point now, counter& c) const
+{
+    double const span = seconds_between(c.sampled_at, now);
+    if (span <= 0)
+    {
+        return;
+    }
+    double const newest = static_cast<double>(c.tokens - c.sampled) / span;
+    c.rate += options_.rate_gain * (newest - c.rate);
+    c.sampled = c.tokens;
+    c.sampled_at = now;
+}
+
+void service_demand::tick(time_point now)
+{
+    if (now < sampled_at_ + options_.sample_interval)
+    {
+        return;
+    }
+    double const span = seconds_between(sampled_at_, now);
+    sampled_at_ = now;
+    for (auto& [service, own] : own_)
+    {
+        sample(now, own);
+    }
+    std::erase_if(peers_,
+                  [&](auto const& entry) {
+                      return now - entry.second.heard_at > options_.peer_memory;
+                  });
+    double const kept = std::exp(
+        -span / std::chrono::duration<double>(options_.fall_time).count());
+    for (auto& [service, known] : estimates_)
+    {
+        known.rate = std::max(known.rate * kept, present_rate(now, service));
+    }
+}
+
+// The sum over the VMs that are heard, scaled to those that are listed.
+double service_demand::present_rate(time_point now,
+                                    std::string const& service) const
+{
+    double sum = 0;
+    std::size_t heard = 1;
+    if (auto const own = own_.find(service); own != own_.end())
+    {
+        sum += own->second.rate;
+    }
+    for (auto const& [vm, peer] : peers_)
+    {
+        heard += now - peer.heard_at <= options_.peer_memory ? 1 : 0;
+        if (auto const row = peer.services.find(service);
+            row != peer.services.end())
+        {
+            sum += row->second.rate;
+        }
+    }
+    double const listed = static_cast<double>(std::max(listed_vms_, heard));
+    return sum * listed / static_cast<double>(heard);
+}
+
+std::optional<double> service_demand::rate(time_point now,
+                                           std::string const& service) const
+{
+    auto const known = estimates_.find(service);
+    if (known == estimates_.end() ||
+        now - known->second.first_at < options_.warm_up)
+    {
+        return std::nullopt;
+    }
+    return known->second.rate;
+}
+
+demand_report service_demand::report(std::string vm,
+                                     std::uint64_t incarnation) const
+{
+    demand_report result{std::move(vm), incarnation, {}};
+    for (auto const& [service, own] : own_)
+    {
+        result.work.push_back({service, own.tokens});
+    }
+    return result;
+}
+
+void service_demand::merge(time_point now, demand_report const& peer)
+{
+    peer_row& known = peers_[peer.vm];
+    if (peer.incarnation < known.incarnation)
+    {
+        return;
+    }
+    if (peer.incarnation > known.incarnation)
+    {
+        known = {peer.incarnation, now, {}};
+    }
+    known.heard_at = now;
+    for (service_work const& row : peer.work)
+    {
+        auto const [place, added] = known.services.try_emplace(row.service);
+        counter& c = place->second;
+        if (added)
+        {
+            c = {row.tokens, row.tokens, now, 0};
+            continue;
+        }
+        c.tokens = std::max(c.tokens, row.tokens);
+        if (now - c.sampled_at >= options_.sample_interval)
+        {
+            sample(now, c);
+        }
+        estimates_.try_emplace(row.service, estimate{now, 0});
+    }
+}
+
+} // namespace amarantharch
--- /dev/null
+++ b/src/core/service_demand_test.cpp
@@ -0,0 +1,104 @@
+#include "core/service_demand.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <string>
+
+namespace amarantharch
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+time_point const start = from_micros(1'000'000'000);
+
+// VMs that admit work at a steady rate and tell one of them.
+struct fleet
+{
+    void run(std::uint64_t tokens_per_second, duration span)
+    {
+        for (time_point const end = now + span; now < end;
+             now += milliseconds(500))
+        {
+            here.admitted(now, "pool", tokens_per_second / 2);
+            here.tick(now);
+            for (std::size_t i = 0; i < peers; ++i)
+            {
+                counted[i] += tokens_per_second / 2;
+                here.merge(
+                    now,
+                    {"peer" + std::to_string(i), 1, {{"pool", counted[i]}}});
+            }
+        }
+    }
+
+    double rate() const
+    {
+        return here.rate(now, "pool").value_or(0);
+    }
+
+    static constexpr std::size_t peers = 4;
+    std::uint64_t counted[peers] = {};
+    service_demand here;
+    time_point now = start;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(the_demand_for_a_service)
+
+BOOST_AUTO_TEST_CASE(is_unknown_until_requests_were_counted_for_a_while)
+{
+    fleet f;
+    f.run(1'000, seconds(2));
+    BOOST_TEST(!f.here.rate(f.now, "pool").has_value());
+    BOOST_TEST(!f.here.rate(f.now, "other").has_value());
+    f.run(1'000, seconds(3));
+    BOOST_TEST(f.here.rate(f.now, "pool").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(is_that_of_all_vms)
+{
+    fleet f;
+    f.run(1'000, seconds(20));
+    BOOST_TEST(f.rate() == 5'000, boost::test_tools::tolerance(0.05));
+}
+
+BOOST_AUTO_TEST_CASE(counts_vms_that_are_not_heard_like_the_others)
+{
+    fleet f;
+    f.here.set_fleet_size(10);
+    f.run(1'000, seconds(20));
+    BOOST_TEST(f.rate() == 10'000, boost::test_tools::tolerance(0.05));
+}
+
+BOOST_AUTO_TEST_CASE(rises_fast_and_falls_slowly)
+{
+    fleet f;
+    f.run(1'000, seconds(20));
+    f.run(2'000, seconds(6));
+    BOOST_TEST(f.rate() > 8'500);
+    f.run(1'000, seconds(6));
+    BOOST_TEST(f.rate() > 7'500);
+    f.run(1'000, seconds(180));
+    BOOST_TEST(f.rate() < 5'500);
+}
+
+BOOST_AUTO_TEST_CASE(bears_reports_that_are_late_repeated_or_of_a_new_process)
+{
+    fleet f;
+    f.run(1'000, seconds(20));
+    f.here.merge(f.now, {"peer0", 1, {{"pool", 5}}});
+    f.here.merge(f.now, {"peer1", 0, {{"pool", 1'000'000'000}}});
+    f.here.merge(f.now, {"peer2", 2, {{"pool", 10}}});
+    f.counted[2] = 10;
+    f.run(1'000, seconds(1));
+    BOOST_TEST(f.rate() < 5'500);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace amarantharch
