One VM in a cell reads the store for all; counts go to the holder of the duties

Now two VMs of each cell of a hundred read and tell the others where the streams stand and what changed; one that hears nothing fresh reads for itself.

--- a/src/app/server.cpp
+++ b/src/app/server.cpp
@@ -539,6 +539,22 @@
     link_->carry_out(what);
 }
 
+void server::carry_out(read_for_others const& what)
+{
+    if (link_)
+    {
+        link_->carry_out(what);
+    }
+}
+
+void server::carry_out(take_reading const& what)
+{
+    if (link_)
+    {
+        link_->carry_out(what);
+    }
+}
+
 void server::carry_out(send_to_peer const& what)
 {
     member const* const to = node_.control().members().find(what.message.vm);
--- a/src/app/server.hpp
+++ b/src/app/server.hpp
@@ -90,6 +90,8 @@
     void carry_out(append_duty_record const& what);
     void carry_out(report_usage const& what);
     void carry_out(order_upstreams const& what);
+    void carry_out(read_for_others const& what);
+    void carry_out(take_reading const& what);
     void carry_out(report_version_move const& what);
     void carry_out(record_timeline const& what);
     caller_row take_caller(request_id const& request);
--- a/src/core/command.hpp
+++ b/src/core/command.hpp
@@ -70,6 +70,18 @@
     move_state state = move_state::running;
 };
 
+// Whether this VM reads the platform's streams for others from now on.
+struct read_for_others
+{
+    bool reads = false;
+};
+
+// A peer read the platform's streams for this VM.
+struct take_reading
+{
+    reading_report report;
+};
+
 // One line of the time line.
 struct record_timeline
 {
@@ -82,7 +94,8 @@
     std::variant<start_attempt, cancel_attempt, answer_head, answer_piece,
                  answer_end, answer_refusal, send_append, send_read,
                  send_to_peer, read_duty_log, append_duty_record, report_usage,
-                 order_upstreams, report_version_move, record_timeline>;
+                 order_upstreams, report_version_move, read_for_others,
+                 take_reading, record_timeline>;
 
 using command_sink = std::function<void(command)>;
 
--- a/src/core/event.hpp
+++ b/src/core/event.hpp
@@ -8,6 +8,7 @@
 #include "core/log_client.hpp"
 #include "core/membership.hpp"
 #include "core/peer_message.hpp"
+#include "core/shared_reading.hpp"
 #include "core/site.hpp"
 #include "core/upstream_table.hpp"
 
@@ -127,6 +128,13 @@
     bool done = false; // else taken back
 };
 
+// What this VM has read of the platform's streams, for the VMs that it reads
+// for.
+struct streams_read
+{
+    reading_report report;
+};
+
 // Answers to the commands of the fleet's duties.
 struct duty_log_read
 {
@@ -171,9 +179,9 @@
     call_received, call_abandoned, upstream_head, upstream_piece, upstream_end,
     upstream_failed, ticked, log_result, peer_message_received, members_listed,
     upstream_reported, upstream_leaving_seen, site_read, upstream_listed,
-    upstream_unlisted, version_ordered, version_move_ended, duty_log_read,
-    duty_log_gone, duty_log_failed, duty_record_appended, usage_reported,
-    order_answered, stop_requested>;
+    upstream_unlisted, version_ordered, version_move_ended, streams_read,
+    duty_log_read, duty_log_gone, duty_log_failed, duty_record_appended,
+    usage_reported, order_answered, stop_requested>;
 
 } // namespace amarantharch
 
--- a/src/core/keyed_follower.cpp
+++ b/src/core/keyed_follower.cpp
@@ -8,11 +8,13 @@
 
 std::optional<keyed_read> keyed_follower::next(time_point now)
 {
-    if (outstanding_ || now < due_)
+    if (outstanding_ || now < due_ || leaves_to_peers(now))
     {
         return std::nullopt;
     }
     outstanding_ = true;
+    bool const outdated = now - answered_at_ > options_.shared_freshness;
+    listing_ = listing_ || (options_.lists_if_behind && outdated);
     due_ = now + options_.interval;
     if (listing_)
     {
@@ -21,9 +23,64 @@
     return keyed_read{false, "", position_, options_.wait};
 }
 
+bool keyed_follower::leaves_to_peers(time_point now) const
+{
+    bool const behind =
+        behind_since_ && now - *behind_since_ >= options_.shared_patience;
+    return known_ && !listing_ && now < shared_until_ && !behind &&
+           now - answered_at_ < options_.shared_interval;
+}
+
+void keyed_follower::on_shared_state(time_point now, duration age, bool behind)
+{
+    shared_until_ =
+        std::max(shared_until_, now - age + options_.shared_freshness);
+    if (!behind)
+    {
+        behind_since_.reset();
+    }
+    else if (!behind_since_)
+    {
+        behind_since_ = now;
+    }
+}
+
+void keyed_follower::on_shared_record(keyed_record const& record)
+{
+    // What changes while the keys are listed is not in the list.
+    if (!known_ || !is_news(record.key, record.offset))
+    {
+        return;
+    }
+    leaving_.erase(record.key);
+    if (record.value)
+    {
+        keys_.insert(record.key);
+    }
+    else if (keys_.erase(record.key) == 0)
+    {
+        return;
+    }
+    changes_.push_back({record.key, record.value, record.offset});
+}
+
+// Notes the record's offset; false if a later one of its key is known.
+bool keyed_follower::is_news(std::string const& key, std::uint64_t offset)
+{
+    auto const [known, added] = offsets_.try_emplace(key, offset);
+    if (!added && offset < known->second)
+    {
+        return false;
+    }
+    known->second = offset;
+    return true;
+}
+
 void keyed_follower::succeeded(time_point now)
 {
     outstanding_ = false;
+    answered_at_ = now;
+    behind_since_.reset();
     if (std::exchange(failures_, 0) > 0)
     {
         settled_at_ = now + options_.settle;
@@ -67,8 +124,16 @@
                         listed_.end(), std::back_inserter(missing));
     for (std::string const& key : missing)
     {
-        drop(now, key);
+        if (offsets_[key] < *listed_end_) // else a peer passed it on since
+        {
+            drop(now, key, *listed_end_);
+        }
     }
+    std::erase_if(offsets_,
+                  [this](auto const& entry) {
+                      return entry.second < *listed_end_ &&
+                             !keys_.contains(entry.first);
+                  });
     position_ = *std::exchange(listed_end_, std::nullopt);
     after_key_.clear();
     listed_.clear();
@@ -97,17 +162,22 @@
 
 void keyed_follower::take(time_point now, keyed_record const& record)
 {
+    if (!is_news(record.key, record.offset))
+    {
+        return;
+    }
     if (!record.value)
     {
-        drop(now, record.key);
+        drop(now, record.key, record.offset);
         return;
     }
     keys_.insert(record.key);
     leaving_.erase(record.key);
-    changes_.push_back({record.key, record.value});
+    changes_.push_back({record.key, record.value, record.offset});
 }
 
-void keyed_follower::drop(time_point now, std::string const& key)
+void keyed_follower::drop(time_point now, std::string const& key,
+                          std::uint64_t offset)
 {
     if (!keys_.contains(key))
     {
@@ -120,7 +190,7 @@
     }
     keys_.erase(key);
     leaving_.erase(key);
-    changes_.push_back({key, std::nullopt});
+    changes_.push_back({key, std::nullopt, offset});
 }
 
 std::vector<keyed_change> keyed_follower::take_changes(time_point now)
@@ -134,7 +204,7 @@
             continue;
         }
         keys_.erase(row->first);
-        changes_.push_back({row->first, std::nullopt});
+        changes_.push_back({row->first, std::nullopt, offsets_[row->first]});
         row = leaving_.erase(row);
     }
     return std::exchange(changes_, {});
--- a/src/core/keyed_follower.hpp
+++ b/src/core/keyed_follower.hpp
@@ -11,6 +11,11 @@
 // removal counts only if the key is still missing `settle` after the log is
 // back.
 //
+// Others may read the stream for this VM (see shared_reading). While what they
+// say is fresh, the follower reads only if it is behind, and now and then to be
+// sure; it takes the records that they pass on. Of one key the record with the
+// greatest offset counts, whatever way it came.
+//
 //     if (auto read = follower.next(now)) send(*read);
 //     follower.on_records(now, batch); // or on_page, on_trimmed, on_failure
 //     for (keyed_change const& c : follower.take_changes(now)) apply(c);
@@ -42,6 +47,16 @@
     duration retry_max = std::chrono::milliseconds(800);
     // Writers that live are back so long after an outage of the log.
     duration settle = std::chrono::milliseconds(2'200);
+    // How long after a peer has read the stream this VM need not read it.
+    duration shared_freshness = std::chrono::milliseconds(1'500);
+    // Between own reads while peers read for this VM: repairs what no peer's
+    // report shows.
+    duration shared_interval = std::chrono::seconds(20);
+    // How long this VM may be behind its peers' reports before it reads;
+    // records that they pass on come within this time.
+    duration shared_patience{};
+    // Lists the keys instead of reading on: most records only renew a key.
+    bool lists_if_behind = false;
 };
 
 // A request to the log.
@@ -71,6 +86,7 @@
 {
     std::string key;
     std::optional<std::string> value; // nothing: the key is gone
+    std::uint64_t offset = 0;         // of the record that says so
 };
 
 class keyed_follower
@@ -89,6 +105,31 @@
     void on_trimmed(time_point now); // records before the offset are gone
     void on_failure(time_point now);
 
+    // A peer read the stream `age` ago; `behind`: it knows of records that
+    // this VM lacks.
+    void on_shared_state(time_point now, duration age, bool behind);
+
+    // A record that a peer passes on.
+    void on_shared_record(keyed_record const& record);
+
+    // From the start of one read to that of the next, from now on.
+    void set_interval(duration interval)
+    {
+        options_.interval = interval;
+    }
+
+    // The offset behind the last record read.
+    std::uint64_t position() const
+    {
+        return position_;
+    }
+
+    // When the log last answered.
+    time_point answered_at() const
+    {
+        return answered_at_;
+    }
+
     // What has changed since the last call, in order.
     std::vector<keyed_change> take_changes(time_point now);
 
@@ -106,7 +147,9 @@
 
 private:
     void take(time_point now, keyed_record const& record);
-    void drop(time_point now, std::string const& key);
+    void drop(time_point now, std::string const& key, std::uint64_t offset);
+    bool is_news(std::string const& key, std::uint64_t offset);
+    bool leaves_to_peers(time_point now) const;
     void succeeded(time_point now);
 
     keyed_follower_options options_;
@@ -120,7 +163,14 @@
     std::optional<std::uint64_t> listed_end_; // before the first page
     std::set<std::string> listed_;            // keys of the pages so far
     std::uint64_t position_ = 0;
+    time_point answered_at_{};
+    // Until when peers' reports stand for own reads; since when they show that
+    // records are missing here.
+    time_point shared_until_{};
+    std::optional<time_point> behind_since_;
     std::set<std::string> keys_;
+    // Offset of the last record of each key, also of keys that are gone.
+    std::map<std::string, std::uint64_t> offsets_;
     std::map<std::string, time_point> leaving_; // removals that wait
     std::vector<keyed_change> changes_;
 };
--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -13,7 +13,7 @@
                 { append_request_record(std::move(payload)); }),
       exchange_({options_.control.vm, options_.control.failure_domain,
                  options_.control.incarnation, options_.usage_interval,
-                 !options_.control.uses_log},
+                 !options_.control.uses_log, options_.duties.enabled},
                 emit),
       duties_(options_.duties, emit), ordered_(emit)
 {
@@ -69,6 +69,7 @@
 {
     control_.tick(now);
     requests_.tick(now);
+    exchange_.set_holds_duties(duties_.holds());
     exchange_.tick(now, control_.members(), requests_);
     membership const& members = control_.members();
     duties_.tick(now, members.is_among(duty_purpose, duty_watchers), requests_);
@@ -118,6 +119,11 @@
     exchange_.upstream_leaving(what.upstream, requests_);
 }
 
+void node::on(time_point, streams_read const& what)
+{
+    exchange_.tell(what, control_.members());
+}
+
 void node::on(time_point now, site_read const& what)
 {
     requests_.set_site(now, what.tables);
--- a/src/core/node.hpp
+++ b/src/core/node.hpp
@@ -88,6 +88,7 @@
     void on(time_point now, members_listed const& what);
     void on(time_point now, upstream_reported const& what);
     void on(time_point now, upstream_leaving_seen const& what);
+    void on(time_point now, streams_read const& what);
     void on(time_point now, site_read const& what);
     void on(time_point now, version_ordered const& what)
     {
--- a/src/core/peer_exchange.cpp
+++ b/src/core/peer_exchange.cpp
@@ -15,7 +15,8 @@
 } // namespace
 
 peer_exchange::peer_exchange(peer_exchange_options options, command_sink emit)
-    : options_(std::move(options)), emit_(std::move(emit))
+    : options_(std::move(options)), emit_(std::move(emit)),
+      sharing_(options_.vm)
 {
 }
 
@@ -27,6 +28,10 @@
     {
         return;
     }
+    if (update->holds_duties)
+    {
+        duty_holder_ = message.vm;
+    }
     for (service_usage const& row : update->usage)
     {
         requests.merge_usage(now, row.service, row.usage);
@@ -57,6 +62,21 @@
     {
         upstream_leaving(upstream, requests);
     }
+    for (reading_report const& report : update->reading)
+    {
+        emit_(take_reading{report});
+    }
+}
+
+void peer_exchange::tell(streams_read const& what, membership const& members)
+{
+    std::vector<std::string> const audience = sharing_.audience(members);
+    for (reading_report& part : sharing_.parts(what.report))
+    {
+        peer_update update;
+        update.reading.push_back(std::move(part));
+        send(audience, update);
+    }
 }
 
 void peer_exchange::upstream_leaving(std::string const& upstream,
@@ -72,6 +92,10 @@
 void peer_exchange::tick(time_point now, membership const& members,
                          request_path& requests)
 {
+    if (options_.shares_reading)
+    {
+        choose_readers(members);
+    }
     if (now >= news_due_)
     {
         peer_update news;
@@ -100,6 +124,20 @@
     }
 }
 
+// Follows the members: whether this VM reads the platform's streams for others.
+void peer_exchange::choose_readers(membership const& members)
+{
+    bool const reads = sharing_.reads(members);
+    if (reads_ == reads)
+    {
+        return;
+    }
+    reads_ = reads;
+    emit_(read_for_others{reads});
+    emit_(record_timeline{"reads_for_others", "",
+                          reads ? "reads=yes" : "reads=no"});
+}
+
 // Tells peers what this VM has served and admitted. In a small fleet one
 // message says all to everyone. In a larger one each part goes to those that
 // decide by it: counts to the VMs with the fleet's duties, the use of quotas to
@@ -121,6 +159,8 @@
     counts.demand = {
         requests.demand().report(options_.vm, options_.incarnation)};
     peer_update quotas;
+    shares.holds_duties = holds_duties_;
+    quotas.holds_duties = holds_duties_;
     quotas.spent = {
         requests.quotas().report(now, options_.vm, options_.incarnation)};
     std::vector<std::string> const peers = reachable(members);
@@ -136,7 +176,22 @@
     send(next_peers(members, quota_fanout(peers.size()), next_quota_peer_),
          quotas);
     counts.evidence = std::move(shares.evidence);
-    send(members.others_among(duty_purpose, duty_watchers), counts);
+    send(counting_peers(members), counts);
+}
+
+// The peers that act for the fleet by what all VMs count, or may soon.
+std::vector<std::string>
+peer_exchange::counting_peers(membership const& members) const
+{
+    auto peers = members.others_among(duty_purpose, duty_watchers);
+    bool const further =
+        !duty_holder_.empty() && members.find(duty_holder_) != nullptr &&
+        std::find(peers.begin(), peers.end(), duty_holder_) == peers.end();
+    if (further)
+    {
+        peers.push_back(duty_holder_);
+    }
+    return peers;
 }
 
 std::size_t peer_exchange::quota_fanout(std::size_t peers) const
--- a/src/core/peer_exchange.hpp
+++ b/src/core/peer_exchange.hpp
@@ -16,6 +16,7 @@
 #include "core/request_path.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -32,6 +33,8 @@
     duration usage_interval = std::chrono::seconds(1);
     // Where there is no log for them, peers tell each other where moves stand.
     bool spreads_moves = false;
+    // Whether VMs read the platform's streams for each other.
+    bool shares_reading = false;
     duration news_interval = std::chrono::milliseconds(50);
     std::size_t usage_fanout = 8;
     std::size_t news_fanout = 16;
@@ -58,6 +61,15 @@
     // An upstream is leaving, as the platform or an operator says.
     void upstream_leaving(std::string const& upstream, request_path& requests);
 
+    // Whether this VM has the fleet's duties; peers send it what they count.
+    void set_holds_duties(bool holds)
+    {
+        holds_duties_ = holds;
+    }
+
+    // Tells the VMs that this one reads for what it has read.
+    void tell(streams_read const& what, membership const& members);
+
     // Sends what is due to live members.
     void tick(time_point now, membership const& members,
               request_path& requests);
@@ -65,8 +77,10 @@
 private:
     static std::vector<std::string>
     next_peers(membership const& members, std::size_t count, std::size_t& turn);
+    std::vector<std::string> counting_peers(membership const& members) const;
     static std::vector<std::string> reachable(membership const& members);
     std::size_t quota_fanout(std::size_t peers) const;
+    void choose_readers(membership const& members);
     void tell_usage(time_point now, membership const& members,
                     request_path& requests);
     std::vector<std::string> peers_elsewhere(membership const& members,
@@ -75,6 +89,10 @@
 
     peer_exchange_options options_;
     command_sink emit_;
+    bool holds_duties_ = false;
+    std::string duty_holder_; // the peer that last said so; may be none
+    shared_reading sharing_;
+    std::optional<bool> reads_; // for others, as last commanded
     std::set<std::string> known_leaving_;
     std::vector<std::string> unsent_leaving_;
     // The places in the rotation of peers, for each kind of message.
--- a/src/core/peer_update.hpp
+++ b/src/core/peer_update.hpp
@@ -9,6 +9,7 @@
 #include "core/quarantine.hpp"
 #include "core/service_demand.hpp"
 #include "core/shared_quota.hpp"
+#include "core/shared_reading.hpp"
 #include "core/usage_windows.hpp"
 #include "core/version_move.hpp"
 
@@ -42,8 +43,10 @@
     std::vector<window_counts> began;     // requests, by windows
     std::vector<std::string> moves;       // where version moves stand
     std::vector<demand_report> demand;    // of services; one row at most
+    std::vector<reading_report> reading;  // of streams; one row at most
+    bool holds_duties = false;            // the sender has the fleet's duties
     MSGPACK_DEFINE(usage, quarantined, leaving, handed_over, evidence, spent,
-                   began, moves, demand)
+                   began, moves, demand, reading, holds_duties)
 };
 
 std::string encode(peer_update const& update);
--- a/src/core/session_text.cpp
+++ b/src/core/session_text.cpp
@@ -401,6 +401,15 @@
             quoted_text(c.order.service), quoted_text(c.order.failure_domain),
             c.order.reclaimable, c.order.count, c.fence);
     }
+    std::string operator()(read_for_others const& c) const
+    {
+        return fmt::format("read_for_others reads={}", c.reads);
+    }
+    std::string operator()(take_reading const& c) const
+    {
+        return fmt::format("take_reading states={} records={}",
+                           c.report.states.size(), c.report.records.size());
+    }
     std::string operator()(report_version_move const& c) const
     {
         return fmt::format("report_move service={} version={} state={}",
--- /dev/null
+++ b/src/core/shared_reading.cpp
@@ -0,0 +1,82 @@
+#include "core/shared_reading.hpp"
+
+#include <fmt/format.h>
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace amarantharch
+{
+
+std::size_t shared_reading::cells(membership const& members) const
+{
+    std::size_t const fleet = members.members().size() + 1;
+    return (fleet + options_.cell_size - 1) / options_.cell_size;
+}
+
+std::size_t shared_reading::cell_of(std::string const& vm, std::size_t cells)
+{
+    return XXH3_64bits(vm.data(), vm.size()) % cells;
+}
+
+bool shared_reading::reads_cell(membership const& members,
+                                std::size_t cell) const
+{
+    return members.is_among(fmt::format("streams-{}", cell), options_.readers);
+}
+
+bool shared_reading::reads(membership const& members) const
+{
+    std::size_t const all = cells(members);
+    for (std::size_t cell = 0; cell < all; ++cell)
+    {
+        if (reads_cell(members, cell))
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
+std::vector<std::string>
+shared_reading::audience(membership const& members) const
+{
+    std::size_t const all = cells(members);
+    std::vector<bool> read(all);
+    for (std::size_t cell = 0; cell < all; ++cell)
+    {
+        read[cell] = reads_cell(members, cell);
+    }
+    std::vector<std::string> chosen;
+    for (auto const& [vm, row] : members.members())
+    {
+        bool const hears = row.state() == member_state::live ||
+                           row.state() == member_state::leaving;
+        if (hears && read[cell_of(vm, all)])
+        {
+            chosen.push_back(vm);
+        }
+    }
+    return chosen;
+}
+
+std::vector<reading_report>
+shared_reading::parts(reading_report const& report) const
+{
+    std::vector<reading_report> result{{report.states, {}}};
+    std::size_t bytes = 0;
+    for (shared_record const& record : report.records)
+    {
+        std::size_t const size = record.key.size() + record.value.size();
+        if (bytes > 0 && bytes + size > options_.message_bytes)
+        {
+            result.emplace_back();
+            bytes = 0;
+        }
+        bytes += size;
+        result.back().records.push_back(record);
+    }
+    return result;
+}
+
+} // namespace amarantharch
--- a/src/core/upstream_directory.cpp
+++ b/src/core/upstream_directory.cpp
@@ -1,5 +1,8 @@
 #include "core/upstream_directory.hpp"
 
+#include <fmt/format.h>
+#include <xxhash.h>
+
 namespace amarantharch
 {
 
@@ -27,6 +30,7 @@
     row& known = place->second;
     if (added)
     {
+        digest_ ^= digest_of(entry);
         return true;
     }
     bool const older = entry.incarnation < known.entry.incarnation ||
@@ -37,13 +41,30 @@
         return false;
     }
     bool const news = !says_the_same(entry, known.entry);
+    digest_ ^= digest_of(known.entry) ^ digest_of(entry);
     known = {entry, sequence};
     return news;
 }
 
 bool upstream_directory::remove(std::string const& upstream)
 {
-    return rows_.erase(upstream) > 0;
+    auto const known = rows_.extract(upstream);
+    if (known.empty())
+    {
+        return false;
+    }
+    digest_ ^= digest_of(known.mapped().entry);
+    return true;
+}
+
+std::uint64_t upstream_directory::digest_of(upstream_listed const& entry)
+{
+    upstream_spec const& upstream = entry.upstream;
+    std::string const text = fmt::format(
+        "{} {} {} {} {} {} {} {} {}", upstream.name, entry.incarnation,
+        entry.leaving, upstream.address, upstream.service, upstream.version,
+        upstream.failure_domain, upstream.capacity, upstream.reclaimable);
+    return XXH3_64bits(text.data(), text.size());
 }
 
 } // namespace amarantharch
--- a/src/core/upstream_directory.hpp
+++ b/src/core/upstream_directory.hpp
@@ -27,6 +27,13 @@
     // True if the upstream was known.
     bool remove(std::string const& upstream);
 
+    // Equal for directories that say the same, whatever order the entries came
+    // in; their sequences do not count.
+    std::uint64_t digest() const
+    {
+        return digest_;
+    }
+
 private:
     struct row
     {
@@ -34,7 +41,10 @@
         std::uint64_t sequence = 0;
     };
 
+    static std::uint64_t digest_of(upstream_listed const& entry);
+
     std::map<std::string, row> rows_;
+    std::uint64_t digest_ = 0; // of all rows, combined by exclusive or
 };
 
 } // namespace amarantharch
