Engines' loads are read by a few VMs for all; the plan waits until the list of upstreams has settled

With 86 VMs each learnt the load of one of 140 engines every 13 s, so prompts were placed by chance and a slot was awaited behind others' long prompts. It waits until the list is still for 3 s, and shrinks only 12 s after it grew. Test: waits_until_all_upstreams_that_start_are_listed.

--- a/src/app/server.cpp
+++ b/src/app/server.cpp
@@ -547,6 +547,14 @@
     }
 }
 
+void server::carry_out(read_upstream_load const& what)
+{
+    if (link_)
+    {
+        link_->carry_out(what);
+    }
+}
+
 void server::carry_out(take_reading const& what)
 {
     if (link_)
--- a/src/core/capacity_plan.cpp
+++ b/src/core/capacity_plan.cpp
@@ -39,46 +39,70 @@
            (slots + options_.half_slots);
 }
 
-// Upstreams that are to run in each domain, of both kinds.
+// As many as the domain with most of them has, once the list has settled; a
+// domain that has just lost its upstreams says nothing of the need.
+std::uint32_t capacity_plan::listed_each(time_point now,
+                                         scaling_spec const& scaling,
+                                         upstream_table const& upstreams,
+                                         size_row& size)
+{
+    std::size_t const listed = upstreams.ring(scaling.service).size();
+    if (listed != size.listed)
+    {
+        size.listed = listed;
+        size.listed_since = now;
+    }
+    if (listed == 0 || now - size.listed_since < options_.settle_time)
+    {
+        return 0;
+    }
+    std::uint32_t most = 0;
+    for (auto const& [domain, price] : scaling.prices)
+    {
+        most = std::max(most,
+                        serving(upstreams, scaling.service, domain, true) +
+                            serving(upstreams, scaling.service, domain, false));
+    }
+    return most;
+}
+
+// Upstreams that are to run in each domain, of both kinds; 0: not known yet.
 std::uint32_t capacity_plan::plan_each(time_point now,
                                        scaling_spec const& scaling,
                                        upstream_table const& upstreams,
                                        service_demand const& demand)
 {
-    std::uint32_t& each = each_[scaling.service];
+    size_row& size = sizes_[scaling.service];
     auto const rate = demand.rate(now, scaling.service);
-    if (!rate)
+    bool const listed = !upstreams.ring(scaling.service).empty();
+    double needed = size.each;
+    if (rate && listed)
     {
-        if (each > 0)
-        {
-            return each;
-        }
-        // A domain that has just lost its upstreams says nothing of the need.
-        for (auto const& [domain, price] : scaling.prices)
-        {
-            each = std::max(
-                each, serving(upstreams, scaling.service, domain, true) +
-                          serving(upstreams, scaling.service, domain, false));
-        }
+        needed = *rate / tokens_per_second(upstreams, scaling.service) /
+                 static_cast<double>(scaling.prices.size());
     }
-    else
+    else if (size.each == 0)
     {
-        double const needed = *rate /
-                              tokens_per_second(upstreams, scaling.service) /
-                              static_cast<double>(scaling.prices.size());
-        if (needed > each || needed < each * options_.shrink_below)
-        {
-            each = static_cast<std::uint32_t>(std::ceil(needed));
-        }
+        needed = listed_each(now, scaling, upstreams, size);
     }
-    each = std::clamp(each, scaling.least, scaling.most);
-    return each;
+    if (needed > size.each)
+    {
+        size.raised_at = now;
+    }
+    bool const shrinks = needed < size.each * options_.shrink_below &&
+                         now - size.raised_at >= options_.shrink_after;
+    if (needed > size.each || shrinks)
+    {
+        size.each = static_cast<std::uint32_t>(std::ceil(needed));
+    }
+    return size.each == 0 ? 0
+                          : std::clamp(size.each, scaling.least, scaling.most);
 }
 
 std::uint32_t capacity_plan::planned_each(std::string const& service) const
 {
-    auto const known = each_.find(service);
-    return known == each_.end() ? 0 : known->second;
+    auto const known = sizes_.find(service);
+    return known == sizes_.end() ? 0 : known->second.each;
 }
 
 std::vector<upstream_order> capacity_plan::due(time_point now,
@@ -89,11 +113,11 @@
     std::vector<upstream_order> orders;
     for (scaling_spec const& scaling : tables.scalings)
     {
-        if (upstreams.ring(scaling.service).empty())
+        std::uint32_t const each = plan_each(now, scaling, upstreams, demand);
+        if (each == 0)
         {
-            continue; // not listed yet
+            continue;
         }
-        std::uint32_t const each = plan_each(now, scaling, upstreams, demand);
         bool const cheaper = scaling.reclaimable_price < 1;
         auto const others =
             static_cast<std::uint32_t>(std::ceil(each * options_.others_share));
@@ -165,7 +189,7 @@
 void capacity_plan::forget()
 {
     rows_.clear();
-    each_.clear();
+    sizes_.clear();
 }
 
 } // namespace amarantharch
--- a/src/core/capacity_plan.hpp
+++ b/src/core/capacity_plan.hpp
@@ -1,9 +1,10 @@
 // Decides how many upstreams of each kind run in each failure domain.
 //
 // The number follows the work that callers offer, by what one upstream does in
-// a second. Before that is known, as many run as do now. It is raised at once
-// and lowered only when much fewer would do, since an upstream that starts anew
-// has an empty cache.
+// a second. Before that is known, as many run as are listed once the list has
+// settled: upstreams that start together enter it one by one. The number is
+// raised at once and lowered only when much fewer would do for a while, since
+// an upstream that starts anew has an empty cache.
 //
 // Reclaimable upstreams cost a fraction of the others, but all of a failure
 // domain's go at once, on seconds of notice, and none may be had anywhere for a
@@ -57,8 +58,13 @@
     double half_slots = 13;
     // Share of a domain's upstreams that are not reclaimable.
     double others_share = 0.2;
-    // Fewer are ordered only if this share of the number would do.
+    // Fewer are ordered only if this share of the number would do, and so long
+    // after the number was raised.
     double shrink_below = 0.75;
+    duration shrink_after = std::chrono::seconds(12);
+    // The list of upstreams has settled when their number was the same for so
+    // long: more than two of their heartbeats.
+    duration settle_time = std::chrono::seconds(3);
     // Others in the place of each reclaimable one that is missing: what is
     // left in the other domains bears most of the load.
     double stand_ins = 0.75;
@@ -104,9 +110,20 @@
         return {order.service, order.failure_domain, order.reclaimable};
     }
 
+    // The number that is to run in each domain.
+    struct size_row
+    {
+        std::uint32_t each = 0; // 0: not planned yet
+        time_point raised_at{};
+        std::size_t listed = 0; // upstreams, and since when so many
+        time_point listed_since{};
+    };
+
     std::uint32_t plan_each(time_point now, scaling_spec const& scaling,
                             upstream_table const& upstreams,
                             service_demand const& demand);
+    std::uint32_t listed_each(time_point now, scaling_spec const& scaling,
+                              upstream_table const& upstreams, size_row& size);
     double tokens_per_second(upstream_table const& upstreams,
                              std::string const& service) const;
     bool is_due(time_point now, upstream_order const& order,
@@ -117,7 +134,7 @@
 
     capacity_plan_options options_;
     std::map<subject, row> rows_;
-    std::map<std::string, std::uint32_t> each_; // by service
+    std::map<std::string, size_row> sizes_; // by service
 };
 
 } // namespace amarantharch
--- a/src/core/capacity_plan_test.cpp
+++ b/src/core/capacity_plan_test.cpp
@@ -225,6 +225,19 @@
     BOOST_TEST(w.running("patan", true) + w.running("patan", false) == 1u);
 }
 
+BOOST_AUTO_TEST_CASE(waits_until_all_upstreams_that_start_are_listed)
+{
+    world w(0);
+    for (std::uint32_t i = 1; i < 5; ++i)
+    {
+        w.settle(seconds(1));
+        BOOST_TEST(w.running("asan", false) == i);
+        w.upstreams.put(world::profile("asan", false, i));
+    }
+    w.settle(seconds(20));
+    BOOST_TEST(w.running("asan", true) + w.running("asan", false) == 5u);
+}
+
 BOOST_AUTO_TEST_CASE(keeps_what_runs_until_it_is_known)
 {
     world w(0);
--- a/src/core/command.hpp
+++ b/src/core/command.hpp
@@ -76,6 +76,14 @@
     bool reads = false;
 };
 
+// Reads the load that an engine reports; answered by upstream_reported, or not
+// at all.
+struct read_upstream_load
+{
+    std::string upstream;
+    std::string address; // ip:port
+};
+
 // A peer read the platform's streams for this VM.
 struct take_reading
 {
@@ -95,7 +103,7 @@
                  answer_end, answer_refusal, send_append, send_read,
                  send_to_peer, read_duty_log, append_duty_record, report_usage,
                  order_upstreams, report_version_move, read_for_others,
-                 take_reading, record_timeline>;
+                 take_reading, read_upstream_load, record_timeline>;
 
 using command_sink = std::function<void(command)>;
 
--- /dev/null
+++ b/src/core/load_sharing.cpp
@@ -0,0 +1,55 @@
+#include "core/load_sharing.hpp"
+
+#include <xxhash.h>
+
+#include <utility>
+
+namespace amarantharch
+{
+
+std::vector<upstream_index> load_sharing::due(time_point now,
+                                              upstream_table const& upstreams)
+{
+    std::vector<upstream_index> chosen;
+    for (upstream_index i = 0; i < upstreams.size(); ++i)
+    {
+        upstream_row const& row = upstreams.row(i);
+        std::string const& name = row.profile.name;
+        if (!row.present || row.leaving ||
+            row.profile.kind != upstream_kind::engine)
+        {
+            due_.erase(name);
+            continue;
+        }
+        // Their turns are spread over the interval.
+        auto const [place, added] = due_.try_emplace(
+            name, now + duration(static_cast<std::int64_t>(
+                            XXH3_64bits(name.data(), name.size()) %
+                            static_cast<std::uint64_t>(
+                                options_.read_interval.count()))));
+        if (now >= place->second && chosen.size() < options_.most_at_once)
+        {
+            place->second = now + options_.read_interval;
+            chosen.push_back(i);
+        }
+    }
+    return chosen;
+}
+
+std::vector<upstream_load> load_sharing::untold(time_point now)
+{
+    if (now < tell_due_ || untold_.empty())
+    {
+        return {};
+    }
+    tell_due_ = now + options_.tell_interval;
+    std::vector<upstream_load> loads;
+    for (auto const& [name, report] : std::exchange(untold_, {}))
+    {
+        loads.push_back({name, report.running, report.waiting,
+                         (now - report.measured_at).count()});
+    }
+    return loads;
+}
+
+} // namespace amarantharch
--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -112,6 +112,7 @@
 void node::on(time_point, upstream_reported const& what)
 {
     requests_.upstream_reported(what.upstream, what.report);
+    exchange_.take_load(what.upstream, what.report);
 }
 
 void node::on(time_point, upstream_leaving_seen const& what)
--- a/src/core/peer_exchange.cpp
+++ b/src/core/peer_exchange.cpp
@@ -62,6 +62,12 @@
     {
         upstream_leaving(upstream, requests);
     }
+    for (upstream_load const& load : update->loads)
+    {
+        requests.upstream_reported(
+            load.upstream,
+            {now - duration(load.age_us), load.running, load.waiting, 0});
+    }
     for (reading_report const& report : update->reading)
     {
         emit_(take_reading{report});
@@ -96,6 +102,10 @@
     {
         choose_readers(members);
     }
+    if (reads_.value_or(false))
+    {
+        share_loads(now, members, requests.upstreams());
+    }
     if (now >= news_due_)
     {
         peer_update news;
@@ -138,6 +148,23 @@
                           reads ? "reads=yes" : "reads=no"});
 }
 
+// Asks engines for their load and tells the VMs that this one reads for.
+void peer_exchange::share_loads(time_point now, membership const& members,
+                                upstream_table const& upstreams)
+{
+    for (upstream_index const index : loads_.due(now, upstreams))
+    {
+        upstream_profile const& profile = upstreams.row(index).profile;
+        emit_(read_upstream_load{profile.name, profile.address});
+    }
+    peer_update update;
+    update.loads = loads_.untold(now);
+    if (!update.loads.empty())
+    {
+        send(sharing_.audience(members), update);
+    }
+}
+
 // Tells peers what this VM has served and admitted. In a small fleet one
 // message says all to everyone. In a larger one each part goes to those that
 // decide by it: counts to the VMs with the fleet's duties, the use of quotas to
--- a/src/core/peer_exchange.hpp
+++ b/src/core/peer_exchange.hpp
@@ -67,6 +67,12 @@
         holds_duties_ = holds;
     }
 
+    // An engine's report, as this VM read it for others.
+    void take_load(std::string const& upstream, upstream_report const& report)
+    {
+        loads_.take(upstream, report);
+    }
+
     // Tells the VMs that this one reads for what it has read.
     void tell(streams_read const& what, membership const& members);
 
@@ -81,6 +87,8 @@
     static std::vector<std::string> reachable(membership const& members);
     std::size_t quota_fanout(std::size_t peers) const;
     void choose_readers(membership const& members);
+    void share_loads(time_point now, membership const& members,
+                     upstream_table const& upstreams);
     void tell_usage(time_point now, membership const& members,
                     request_path& requests);
     std::vector<std::string> peers_elsewhere(membership const& members,
@@ -93,6 +101,7 @@
     std::string duty_holder_; // the peer that last said so; may be none
     shared_reading sharing_;
     std::optional<bool> reads_; // for others, as last commanded
+    load_sharing loads_;
     std::set<std::string> known_leaving_;
     std::vector<std::string> unsent_leaving_;
     // The places in the rotation of peers, for each kind of message.
--- a/src/core/peer_update.hpp
+++ b/src/core/peer_update.hpp
@@ -6,6 +6,7 @@
 #define AMARANTHARCH_CORE_PEER_UPDATE_HPP
 
 #include "core/admission.hpp"
+#include "core/load_sharing.hpp"
 #include "core/quarantine.hpp"
 #include "core/service_demand.hpp"
 #include "core/shared_quota.hpp"
@@ -45,8 +46,9 @@
     std::vector<demand_report> demand;    // of services; one row at most
     std::vector<reading_report> reading;  // of streams; one row at most
     bool holds_duties = false;            // the sender has the fleet's duties
+    std::vector<upstream_load> loads;     // of engines
     MSGPACK_DEFINE(usage, quarantined, leaving, handed_over, evidence, spent,
-                   began, moves, demand, reading, holds_duties)
+                   began, moves, demand, reading, holds_duties, loads)
 };
 
 std::string encode(peer_update const& update);
--- a/src/core/service_demand.cpp
+++ b/src/core/service_demand.cpp
@@ -37,7 +37,9 @@
         return;
     }
     double const newest = static_cast<double>(c.tokens - c.sampled) / span;
-    c.rate += options_.rate_gain * (newest - c.rate);
+    // Until there are enough samples, their mean.
+    double const gain = std::max(options_.rate_gain, 1.0 / ++c.samples);
+    c.rate += gain * (newest - c.rate);
     c.sampled = c.tokens;
     c.sampled_at = now;
 }
@@ -130,7 +132,7 @@
         counter& c = place->second;
         if (added)
         {
-            c = {row.tokens, row.tokens, now, 0};
+            c = {row.tokens, row.tokens, now, 0, 0};
             continue;
         }
         c.tokens = std::max(c.tokens, row.tokens);
--- a/src/core/service_demand.hpp
+++ b/src/core/service_demand.hpp
@@ -31,7 +31,7 @@
 {
     // Between two looks at this VM's own counts.
     duration sample_interval = std::chrono::seconds(1);
-    // Weight of the newest span in a VM's rate.
+    // Weight of the newest span in a VM's rate, after the first few.
     double rate_gain = 0.3;
     // Requests are counted for so long before the estimate is used.
     duration warm_up = std::chrono::seconds(4);
@@ -93,6 +93,7 @@
         std::uint64_t sampled = 0; // tokens at the last sample
         time_point sampled_at{};
         double rate = 0; // tokens a second
+        std::uint32_t samples = 0;
     };
 
     struct peer_row
--- a/src/core/session_text.cpp
+++ b/src/core/session_text.cpp
@@ -405,6 +405,10 @@
     {
         return fmt::format("read_for_others reads={}", c.reads);
     }
+    std::string operator()(read_upstream_load const& c) const
+    {
+        return fmt::format("read_load upstream={}", quoted_text(c.upstream));
+    }
     std::string operator()(take_reading const& c) const
     {
         return fmt::format("take_reading states={} records={}",
