--- a/src/core/keyed_follower_test.cpp
+++ b/src/core/keyed_follower_test.cpp
@@ -171,6 +171,78 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+BOOST_AUTO_TEST_SUITE(while_peers_read_the_stream)
+
+BOOST_AUTO_TEST_CASE(reads_only_now_and_then)
+{
+    followed f;
+    f.list({put(0, "a", "1")}, 1);
+    int reads = 0;
+    for (time_point const end = f.now + seconds(60); f.now < end;
+         f.now += milliseconds(400))
+    {
+        f.follower.on_shared_state(f.now, milliseconds(100), false);
+        if (f.follower.next(f.now))
+        {
+            ++reads;
+            f.follower.on_records(f.now, {{}, 1, false});
+        }
+    }
+    BOOST_TEST(reads <= 3);
+}
+
+BOOST_AUTO_TEST_CASE(reads_at_once_if_it_is_behind)
+{
+    followed f;
+    f.list({put(0, "a", "1")}, 1);
+    f.follower.on_shared_state(f.now, milliseconds(0), false);
+    BOOST_TEST(!f.follower.next(f.now).has_value());
+    f.follower.on_shared_state(f.now, milliseconds(0), true);
+    f.read({put(1, "b", "2")});
+    BOOST_TEST(f.state["b"] == "2");
+}
+
+BOOST_AUTO_TEST_CASE(reads_again_once_they_fall_silent_or_stop_reading)
+{
+    followed f;
+    f.list({put(0, "a", "1")}, 1);
+    f.follower.on_shared_state(f.now, milliseconds(0), false);
+    f.now += milliseconds(1'400);
+    BOOST_TEST(!f.follower.next(f.now).has_value());
+    f.follower.on_shared_state(f.now, milliseconds(1'600), false);
+    f.now += milliseconds(200);
+    BOOST_TEST(f.follower.next(f.now).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(takes_records_that_they_pass_on_in_the_order_of_offsets)
+{
+    followed f;
+    f.list({put(0, "a", "1")}, 1);
+    f.follower.on_shared_record(put(3, "b", "2"));
+    f.follower.on_shared_record(dropped(5, "b"));
+    f.follower.on_shared_record(put(4, "b", "late"));
+    f.apply();
+    BOOST_TEST(!f.state.contains("b"));
+    f.follower.on_shared_record(put(6, "a", "3"));
+    f.read({put(2, "a", "2"), put(6, "a", "3")});
+    BOOST_TEST(f.state["a"] == "3");
+}
+
+BOOST_AUTO_TEST_CASE(keeps_a_record_that_is_newer_than_the_list)
+{
+    followed f;
+    f.list({put(0, "a", "1")}, 1);
+    f.follower.on_trimmed(f.now);
+    auto const read = f.follower.next(f.now);
+    BOOST_REQUIRE((read && read->lists));
+    f.follower.on_shared_record(put(9, "b", "2"));
+    f.follower.on_page(f.now, {{put(0, "a", "1")}, 8, false});
+    f.apply();
+    BOOST_TEST(f.state["b"] == "2");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace amarantharch
--- a/src/core/upstream_directory_test.cpp
+++ b/src/core/upstream_directory_test.cpp
@@ -48,6 +48,28 @@
     BOOST_TEST(directory.put(entry(2), 6));
 }
 
+BOOST_AUTO_TEST_CASE(has_the_digest_of_what_it_says)
+{
+    upstream_directory one;
+    upstream_directory other;
+    upstream_listed second = entry(1);
+    second.upstream.name = "i-2";
+    one.put(entry(1), 1);
+    one.put(second, 1);
+    other.put(second, 9);
+    BOOST_TEST(one.digest() != other.digest());
+    other.put(entry(1), 4);
+    BOOST_TEST(one.digest() == other.digest());
+    one.put(entry(1, true), 5);
+    BOOST_TEST(one.digest() != other.digest());
+    other.put(entry(1, true), 6);
+    BOOST_TEST(one.digest() == other.digest());
+    one.remove("i-2");
+    BOOST_TEST(one.digest() != other.digest());
+    one.remove("i-1");
+    BOOST_TEST(one.digest() == upstream_directory().digest());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace amarantharch
