A reader that is cut off from the store no longer hides what a VM lacks

Reports older than the newest known one are ignored. Ruled out: a late record of the store (all other VMs had it). Test: heeds_the_newest_report_only, failed before.

--- a/src/core/keyed_follower.cpp
+++ b/src/core/keyed_follower.cpp
@@ -27,14 +27,18 @@
 {
     bool const behind =
         behind_since_ && now - *behind_since_ >= options_.shared_patience;
-    return known_ && !listing_ && now < shared_until_ && !behind &&
+    return known_ && !listing_ &&
+           now < shared_at_ + options_.shared_freshness && !behind &&
            now - answered_at_ < options_.shared_interval;
 }
 
 void keyed_follower::on_shared_state(time_point now, duration age, bool behind)
 {
-    shared_until_ =
-        std::max(shared_until_, now - age + options_.shared_freshness);
+    if (now - age < shared_at_)
+    {
+        return;
+    }
+    shared_at_ = now - age;
     if (!behind)
     {
         behind_since_.reset();
--- a/src/core/keyed_follower.hpp
+++ b/src/core/keyed_follower.hpp
@@ -106,7 +106,7 @@
     void on_failure(time_point now);
 
     // A peer read the stream `age` ago; `behind`: it knows of records that
-    // this VM lacks.
+    // this VM lacks. Ignored if another peer has read it later.
     void on_shared_state(time_point now, duration age, bool behind);
 
     // A record that a peer passes on.
@@ -164,9 +164,9 @@
     std::set<std::string> listed_;            // keys of the pages so far
     std::uint64_t position_ = 0;
     time_point answered_at_{};
-    // Until when peers' reports stand for own reads; since when they show that
-    // records are missing here.
-    time_point shared_until_{};
+    // When a peer last read the stream, as far as known; since when such
+    // reports show that records are missing here.
+    time_point shared_at_{};
     std::optional<time_point> behind_since_;
     std::set<std::string> keys_;
     // Offset of the last record of each key, also of keys that are gone.
--- a/src/core/keyed_follower_test.cpp
+++ b/src/core/keyed_follower_test.cpp
@@ -214,6 +214,20 @@
     BOOST_TEST(f.follower.next(f.now).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(heeds_the_newest_report_only)
+{
+    followed f;
+    f.list({put(0, "a", "1")}, 1);
+    for (int i = 0; i < 3; ++i)
+    {
+        f.now += milliseconds(200);
+        f.follower.on_shared_state(f.now, milliseconds(0), true);
+        // A peer that is cut off lacks the same records.
+        f.follower.on_shared_state(f.now, milliseconds(700 + 200 * i), false);
+    }
+    BOOST_TEST(f.follower.next(f.now).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(takes_records_that_they_pass_on_in_the_order_of_offsets)
 {
     followed f;
