--- a/src/core/keyed_follower.cpp
+++ b/src/core/keyed_follower.cpp
@@ -32,20 +32,22 @@
            now - answered_at_ < options_.shared_interval;
 }
 
-void keyed_follower::on_shared_state(time_point now, duration age, bool behind)
+void keyed_follower::on_shared_state(time_point now, duration age,
+                                     std::uint64_t shown, bool behind)
 {
-    if (now - age < shared_at_)
+    if (now - age + options_.shared_skew < shared_at_)
     {
         return;
     }
-    shared_at_ = now - age;
+    shared_at_ = std::max(shared_at_, now - age);
     if (!behind)
     {
         behind_since_.reset();
     }
-    else if (!behind_since_)
+    else if (!behind_since_ || shown != behind_of_)
     {
         behind_since_ = now;
+        behind_of_ = shown;
     }
 }
 
@@ -56,6 +58,10 @@
     {
         return;
     }
+    if (record.offset == position_)
+    {
+        ++position_; // nothing lies between
+    }
     leaving_.erase(record.key);
     if (record.value)
     {
--- a/src/core/keyed_follower.hpp
+++ b/src/core/keyed_follower.hpp
@@ -51,7 +51,9 @@
     duration shared_freshness = std::chrono::milliseconds(1'500);
     // Between own reads while peers read for this VM: repairs what no peer's
     // report shows.
-    duration shared_interval = std::chrono::seconds(20);
+    duration shared_interval = std::chrono::seconds(60);
+    // Peers do not read in step: a report may be so much older than another's.
+    duration shared_skew = std::chrono::milliseconds(600);
     // How long this VM may be behind its peers' reports before it reads;
     // records that they pass on come within this time.
     duration shared_patience{};
@@ -105,9 +107,11 @@
     void on_trimmed(time_point now); // records before the offset are gone
     void on_failure(time_point now);
 
-    // A peer read the stream `age` ago; `behind`: it knows of records that
-    // this VM lacks. Ignored if another peer has read it later.
-    void on_shared_state(time_point now, duration age, bool behind);
+    // A peer read the stream `age` ago and found it at `shown` (an end or a
+    // digest); `behind`: this VM lacks records of that. Ignored if another peer
+    // has read it much later.
+    void on_shared_state(time_point now, duration age, std::uint64_t shown,
+                         bool behind);
 
     // A record that a peer passes on.
     void on_shared_record(keyed_record const& record);
@@ -168,6 +172,7 @@
     // reports show that records are missing here.
     time_point shared_at_{};
     std::optional<time_point> behind_since_;
+    std::uint64_t behind_of_ = 0; // what they showed then
     std::set<std::string> keys_;
     // Offset of the last record of each key, also of keys that are gone.
     std::map<std::string, std::uint64_t> offsets_;
--- a/src/core/keyed_follower_test.cpp
+++ b/src/core/keyed_follower_test.cpp
@@ -181,7 +181,7 @@
     for (time_point const end = f.now + seconds(60); f.now < end;
          f.now += milliseconds(400))
     {
-        f.follower.on_shared_state(f.now, milliseconds(100), false);
+        f.follower.on_shared_state(f.now, milliseconds(100), 7, false);
         if (f.follower.next(f.now))
         {
             ++reads;
@@ -195,9 +195,9 @@
 {
     followed f;
     f.list({put(0, "a", "1")}, 1);
-    f.follower.on_shared_state(f.now, milliseconds(0), false);
+    f.follower.on_shared_state(f.now, milliseconds(0), 7, false);
     BOOST_TEST(!f.follower.next(f.now).has_value());
-    f.follower.on_shared_state(f.now, milliseconds(0), true);
+    f.follower.on_shared_state(f.now, milliseconds(0), 7, true);
     f.read({put(1, "b", "2")});
     BOOST_TEST(f.state["b"] == "2");
 }
@@ -206,10 +206,10 @@
 {
     followed f;
     f.list({put(0, "a", "1")}, 1);
-    f.follower.on_shared_state(f.now, milliseconds(0), false);
+    f.follower.on_shared_state(f.now, milliseconds(0), 7, false);
     f.now += milliseconds(1'400);
     BOOST_TEST(!f.follower.next(f.now).has_value());
-    f.follower.on_shared_state(f.now, milliseconds(1'600), false);
+    f.follower.on_shared_state(f.now, milliseconds(1'600), 7, false);
     f.now += milliseconds(200);
     BOOST_TEST(f.follower.next(f.now).has_value());
 }
@@ -221,13 +221,44 @@
     for (int i = 0; i < 3; ++i)
     {
         f.now += milliseconds(200);
-        f.follower.on_shared_state(f.now, milliseconds(0), true);
+        f.follower.on_shared_state(f.now, milliseconds(0), 7, true);
         // A peer that is cut off lacks the same records.
-        f.follower.on_shared_state(f.now, milliseconds(700 + 200 * i), false);
+        f.follower.on_shared_state(f.now, milliseconds(700 + 200 * i), 7,
+                                   false);
     }
     BOOST_TEST(f.follower.next(f.now).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(waits_for_the_records_while_the_reports_change)
+{
+    keyed_follower_options options;
+    options.shared_patience = milliseconds(300);
+    keyed_follower follower(options);
+    BOOST_REQUIRE(follower.next(start).has_value());
+    follower.on_page(start, {{}, 1, false});
+    time_point now = start;
+    for (std::uint64_t shown = 1; shown < 5; ++shown)
+    {
+        now += milliseconds(200);
+        follower.on_shared_state(now, milliseconds(0), shown, true);
+        BOOST_TEST(!follower.next(now).has_value());
+    }
+    now += milliseconds(300);
+    follower.on_shared_state(now, milliseconds(0), 4, true);
+    BOOST_TEST(follower.next(now).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(is_not_behind_once_all_records_were_passed_on)
+{
+    followed f;
+    f.list({put(0, "a", "1")}, 1);
+    f.follower.on_shared_record(put(1, "b", "2"));
+    f.follower.on_shared_record(put(2, "c", "3"));
+    BOOST_TEST(f.follower.position() == 3u);
+    f.follower.on_shared_record(put(5, "d", "4"));
+    BOOST_TEST(f.follower.position() == 3u);
+}
+
 BOOST_AUTO_TEST_CASE(takes_records_that_they_pass_on_in_the_order_of_offsets)
 {
     followed f;
