--- /dev/null
+++ b/src/core/peer_exchange_test.cpp
@@ -0,0 +1,189 @@
+#include "core/peer_exchange.hpp"
+
+#include <boost/test/unit_test.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <string>
+
+namespace amarantharch
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+time_point const start = from_micros(1'000'000'000);
+
+// One VM among live peers; what it sends is kept.
+struct vm
+{
+    explicit vm(std::size_t peers)
+        : members(own_membership()),
+          requests(
+              path_options(), [](command const&) {}, [](std::string) {}),
+          exchange(exchange_options(), [this](command c) { take(c); })
+    {
+        std::vector<member_update> updates;
+        for (std::size_t i = 0; i < peers; ++i)
+        {
+            member_update update;
+            update.vm = fmt::format("vm{}", i);
+            update.address = fmt::format("10.0.0.1:{}", i + 1);
+            update.failure_domain = "asan";
+            update.incarnation = 1;
+            updates.push_back(std::move(update));
+        }
+        members.merge(start, updates);
+        requests.demand().admitted(start, "pool", 100);
+    }
+
+    static membership_options own_membership()
+    {
+        membership_options options;
+        options.vm = "own";
+        return options;
+    }
+
+    static request_path_options path_options()
+    {
+        request_path_options options;
+        options.vm = "own";
+        options.usage_window = seconds(5);
+        return options;
+    }
+
+    static peer_exchange_options exchange_options()
+    {
+        peer_exchange_options options;
+        options.vm = "own";
+        options.usage_interval = milliseconds(300);
+        return options;
+    }
+
+    void take(command const& c)
+    {
+        if (auto const* sent = std::get_if<send_to_peer>(&c))
+        {
+            auto const update = decode_peer_update(sent->message.payload);
+            BOOST_REQUIRE(update.ok());
+            heard[sent->message.vm].push_back(*update);
+        }
+    }
+
+    void run(duration span)
+    {
+        for (time_point const end = now + span; now < end;
+             now += milliseconds(50))
+        {
+            exchange.tick(now, members, requests);
+        }
+    }
+
+    void hear(std::string const& peer, peer_update const& update)
+    {
+        exchange.receive(
+            now, {peer, peer_message_kind::request, encode(update)}, requests);
+    }
+
+    std::size_t count(std::string const& peer,
+                      bool (*fits)(peer_update const&)) const
+    {
+        auto const known = heard.find(peer);
+        return known == heard.end()
+                   ? 0
+                   : static_cast<std::size_t>(
+                         std::ranges::count_if(known->second, fits));
+    }
+
+    membership members;
+    request_path requests;
+    peer_exchange exchange;
+    time_point now = start;
+    std::map<std::string, std::vector<peer_update>> heard;
+};
+
+bool has_quotas(peer_update const& update)
+{
+    return !update.spent.empty();
+}
+
+bool has_demand(peer_update const& update)
+{
+    return !update.demand.empty();
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(what_vms_tell_each_other)
+
+BOOST_AUTO_TEST_SUITE(in_a_small_fleet)
+
+BOOST_AUTO_TEST_CASE(is_all_told_to_everyone_in_one_message)
+{
+    vm own(8);
+    own.run(milliseconds(300));
+    BOOST_TEST(own.heard.size() == 8u);
+    for (auto const& [peer, updates] : own.heard)
+    {
+        BOOST_TEST(updates.size() == 1u);
+        BOOST_TEST(has_quotas(updates.front()));
+        BOOST_TEST(has_demand(updates.front()));
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(in_a_large_fleet)
+
+BOOST_AUTO_TEST_CASE(is_the_use_of_quotas_to_all_in_time)
+{
+    vm own(85);
+    own.run(milliseconds(900));
+    for (auto const& [peer, row] : own.members.members())
+    {
+        BOOST_TEST(own.count(peer, has_quotas) >= 1u);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(is_the_work_offered_to_the_watchers_of_the_duties)
+{
+    vm own(85);
+    own.run(seconds(1));
+    auto const watchers = own.members.others_among(duty_purpose, duty_watchers);
+    BOOST_TEST(watchers.size() >= duty_watchers - 1);
+    std::size_t told = 0;
+    for (auto const& [peer, row] : own.members.members())
+    {
+        told += own.count(peer, has_demand) > 0 ? 1 : 0;
+    }
+    BOOST_TEST(told == watchers.size());
+}
+
+BOOST_AUTO_TEST_CASE(is_the_work_offered_to_a_holder_that_does_not_watch)
+{
+    vm own(85);
+    auto const watchers = own.members.others_among(duty_purpose, duty_watchers);
+    std::size_t i = 0;
+    while (std::ranges::find(watchers, fmt::format("vm{}", i)) !=
+           watchers.end())
+    {
+        ++i;
+    }
+    std::string const holder = fmt::format("vm{}", i);
+    peer_update update;
+    update.holds_duties = true;
+    own.hear(holder, update);
+    own.run(seconds(1));
+    BOOST_TEST(own.count(holder, has_demand) > 0u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace amarantharch
