A record that a VM has already is no news to it, whoever passes it on

Two VMs that read for each other passed one record to and fro at each tick. Test: takes_a_record_that_it_has_already_for_no_news, failed before.

--- a/src/core/keyed_follower.cpp
+++ b/src/core/keyed_follower.cpp
@@ -53,11 +53,13 @@
 
 void keyed_follower::on_shared_record(keyed_record const& record)
 {
-    // What changes while the keys are listed is not in the list.
-    if (!known_ || !is_news(record.key, record.offset))
+    auto const last = offsets_.find(record.key);
+    bool const had = last != offsets_.end() && record.offset <= last->second;
+    if (!known_ || had)
     {
         return;
     }
+    offsets_[record.key] = record.offset;
     if (record.offset == position_)
     {
         ++position_; // nothing lies between
@@ -74,7 +76,8 @@
     changes_.push_back({record.key, record.value, record.offset});
 }
 
-// Notes the record's offset; false if a later one of its key is known.
+// Notes the offset of a record that this VM read; false if a later one of its
+// key is known.
 bool keyed_follower::is_news(std::string const& key, std::uint64_t offset)
 {
     auto const [known, added] = offsets_.try_emplace(key, offset);
--- a/src/core/keyed_follower_test.cpp
+++ b/src/core/keyed_follower_test.cpp
@@ -273,6 +273,19 @@
     BOOST_TEST(f.state["a"] == "3");
 }
 
+// Two VMs that read for each other would pass it to and fro without end.
+BOOST_AUTO_TEST_CASE(takes_a_record_that_it_has_already_for_no_news)
+{
+    followed f;
+    f.list({put(0, "a", "1")}, 1);
+    f.read({put(1, "b", "2")});
+    f.follower.on_shared_record(put(1, "b", "2"));
+    f.follower.on_shared_record(put(2, "c", "3"));
+    BOOST_TEST(f.follower.take_changes(f.now).size() == 1u);
+    f.follower.on_shared_record(put(2, "c", "3"));
+    BOOST_TEST(f.follower.take_changes(f.now).empty());
+}
+
 BOOST_AUTO_TEST_CASE(keeps_a_record_that_is_newer_than_the_list)
 {
     followed f;
