--- a/src/core/peer_exchange_test.cpp
+++ b/src/core/peer_exchange_test.cpp
@@ -25,8 +25,8 @@
     explicit vm(std::size_t peers)
         : members(own_membership()),
           requests(
-              path_options(), [](command const&) {}, [](std::string) {}),
-          exchange(exchange_options(), [this](command c) { take(c); })
+              path_options(), [](command const&) {}, [](std::string const&) {}),
+          exchange(exchange_options(), [this](command const& c) { take(c); })
     {
         std::vector<member_update> updates;
         for (std::size_t i = 0; i < peers; ++i)
