A lost record no longer waits while the stream's other keys change

Cause: a VM that lacks a record reads the store once a peer's report has shown the same state for peer_record_grace; every change of another key put that off. Change: a bound of 700 ms on being behind at all. Test: reads_although_the_reports_keep_changing; fails without the bound.

--- a/src/core/keyed_follower.cpp
+++ b/src/core/keyed_follower.cpp
@@ -26,7 +26,9 @@
 bool keyed_follower::relies_on_peers(time_point now) const
 {
     bool const behind =
-        behind_since_ && now - *behind_since_ >= options_.peer_record_grace;
+        behind_since_ &&
+        (now - behind_report_since_ >= options_.peer_record_grace ||
+         now - *behind_since_ >= options_.max_behind);
     return is_synced_ && !listing_ &&
            now < peer_read_at_ + options_.peer_report_max_age && !behind &&
            now - answered_at_ < options_.own_read_interval;
@@ -43,12 +45,14 @@
     if (!behind)
     {
         behind_since_.reset();
+        return;
     }
-    else if (!behind_since_ || observed != behind_report_)
+    if (!behind_since_ || observed != behind_report_)
     {
-        behind_since_ = now;
+        behind_report_since_ = now;
         behind_report_ = observed;
     }
+    behind_since_ = behind_since_.value_or(now);
 }
 
 void keyed_follower::on_peer_record(keyed_record const& record)
--- a/src/core/keyed_follower.hpp
+++ b/src/core/keyed_follower.hpp
@@ -56,9 +56,12 @@
     // Peers don't read simultaneously: a report may be older than the newest
     // one by this much and still count.
     duration peer_report_skew = std::chrono::milliseconds(600);
-    // How long this VM may be behind its peers' reports before it reads:
-    // forwarded records arrive within this time.
+    // How long this VM may lack what a report shows before it reads: forwarded
+    // records arrive within this time.
     duration peer_record_grace{};
+    // How long it may lack anything, while the reports show ever newer states.
+    // Bounds the delay after a lost message in a stream that changes often.
+    duration max_behind = std::chrono::milliseconds(700);
     // If this VM's last read is too old, list the keys instead of reading each
     // record: worthwhile where most records only renew a key.
     bool relists_when_stale = false;
@@ -174,10 +177,11 @@
     std::uint64_t position_ = 0;
     time_point answered_at_{};
     time_point peer_read_at_{}; // a peer's latest known read of the stream
-    // When a report first showed that this VM lacks records, and the state of
-    // the stream in that report.
+    // Since when every report has shown that this VM lacks records, the state
+    // of the stream in the last report, and since when reports show that state.
     std::optional<time_point> behind_since_;
     std::uint64_t behind_report_ = 0;
+    time_point behind_report_since_{};
     std::set<std::string> keys_;
     // Offset of the last record of each key, including removed keys.
     std::map<std::string, std::uint64_t> offsets_;
--- a/src/core/keyed_follower_test.cpp
+++ b/src/core/keyed_follower_test.cpp
@@ -248,6 +248,26 @@
     BOOST_TEST(follower.next(now).has_value());
 }
 
+// A forwarded record was lost, and other keys change with every report.
+BOOST_AUTO_TEST_CASE(reads_although_the_reports_keep_changing)
+{
+    keyed_follower_options options;
+    options.peer_record_grace = milliseconds(300);
+    options.max_behind = milliseconds(700);
+    keyed_follower follower(options);
+    BOOST_REQUIRE(follower.next(start).has_value());
+    follower.on_page(start, {{}, 1, false});
+    bool reads = false;
+    for (int passed = 0; passed <= 800; passed += 200)
+    {
+        time_point const now = start + milliseconds(passed);
+        auto const state = static_cast<std::uint64_t>(passed);
+        follower.on_peer_report(now, milliseconds(0), state, true);
+        reads = follower.next(now).has_value();
+    }
+    BOOST_TEST(reads);
+}
+
 BOOST_AUTO_TEST_CASE(is_not_behind_once_all_records_were_passed_on)
 {
     followed f;
