Heed upstreams that say they are leaving or want a pause

Cause: the platform's servers state both in their answers now; a VM learned of a leaving upstream from the store only, and sent on to one that had asked for time. Ruled out: using the ejection of the outlier detector for a pause: it is capped by the share of active upstreams and may be shorter than asked. Change: a dialect decodes a notice from every answer, also to load reads. A leaving mark holds for the incarnation that the attempt was sent to, also when the entry lapses and returns; a pause is kept to its end. Callers refused for lack of an upstream are told when the first one takes requests again. Peers are told with the incarnation, so a late message does not stop its successor.

--- a/src/core/dialect.hpp
+++ b/src/core/dialect.hpp
@@ -41,6 +41,16 @@
     std::uint32_t slots = 0;
 };
 
+// What an upstream says about itself in an answer, whatever the request.
+struct upstream_notice
+{
+    bool leaving = false;          // it is shutting down
+    std::optional<duration> pause; // it wants no requests for so long
+};
+
+// Longest pause that an upstream can ask for.
+inline constexpr duration max_upstream_pause = std::chrono::minutes(10);
+
 // Metadata decoded from the status and headers of an answer.
 struct answer_metadata
 {
@@ -53,6 +63,7 @@
     // Has the headers that every upstream answer must have.
     bool genuine = true;
     std::optional<answer_load> load;
+    upstream_notice notice;
 };
 
 class dialect
--- a/src/core/event.hpp
+++ b/src/core/event.hpp
@@ -4,6 +4,7 @@
 
 #include "core/call.hpp"
 #include "core/capacity_plan.hpp"
+#include "core/dialect.hpp"
 #include "core/duty_log.hpp"
 #include "core/log_client.hpp"
 #include "core/membership.hpp"
@@ -86,6 +87,13 @@
     upstream_report report;
 };
 
+// What an upstream says about itself, in an answer to a load read.
+struct upstream_noticed
+{
+    std::string upstream;
+    upstream_notice notice;
+};
+
 // Any source reported that an upstream is about to shut down.
 struct upstream_leaving_seen
 {
@@ -180,10 +188,11 @@
 using event = std::variant<
     call_received, call_abandoned, upstream_head, upstream_piece, upstream_end,
     upstream_failed, ticked, log_result, peer_message_received, members_listed,
-    upstream_reported, upstream_leaving_seen, routing_tables_changed,
-    upstream_listed, upstream_unlisted, version_ordered, version_move_ended,
-    streams_read, duty_log_read, duty_log_gone, duty_log_failed,
-    duty_record_appended, usage_reported, order_answered, stop_requested>;
+    upstream_reported, upstream_noticed, upstream_leaving_seen,
+    routing_tables_changed, upstream_listed, upstream_unlisted, version_ordered,
+    version_move_ended, streams_read, duty_log_read, duty_log_gone,
+    duty_log_failed, duty_record_appended, usage_reported, order_answered,
+    stop_requested>;
 
 } // namespace amarantharch
 
--- a/src/core/load_sharing.cpp
+++ b/src/core/load_sharing.cpp
@@ -15,7 +15,7 @@
     {
         upstream_row const& row = upstreams.row(i);
         std::string const& name = row.profile.name;
-        if (!row.present || row.leaving ||
+        if (!row.present || row.leaving || row.paused_until > now ||
             row.profile.kind != upstream_kind::engine)
         {
             next_read_.erase(name);
--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -121,7 +121,7 @@
 
 void node::on(time_point, upstream_leaving_seen const& what)
 {
-    exchange_.upstream_leaving(what.upstream, requests_);
+    requests_.upstream_leaving(what.upstream);
 }
 
 void node::on(time_point, streams_read const& what)
--- a/src/core/peer_exchange.cpp
+++ b/src/core/peer_exchange.cpp
@@ -61,7 +61,16 @@
     }
     for (std::string const& upstream : update->leaving)
     {
-        upstream_leaving(upstream, requests);
+        requests.upstream_leaving(upstream);
+    }
+    for (leaving_upstream const& row : update->leaving_upstreams)
+    {
+        requests.upstream_leaving(row);
+    }
+    if (options_.shares_reading)
+    {
+        // The readers' records tell all VMs; one step by the finder suffices.
+        requests.take_found_leaving();
     }
     for (upstream_load const& load : update->loads)
     {
@@ -87,16 +96,6 @@
     }
 }
 
-void peer_exchange::upstream_leaving(std::string const& upstream,
-                                     request_path& requests)
-{
-    requests.upstream_leaving(upstream);
-    if (known_leaving_.insert(upstream).second)
-    {
-        unsent_leaving_.push_back(upstream);
-    }
-}
-
 void peer_exchange::tick(time_point now, membership const& members,
                          request_path& requests)
 {
@@ -112,10 +111,10 @@
     {
         peer_update urgent;
         urgent.quarantined = requests.crash_quarantine().take_changes();
-        urgent.leaving = std::exchange(unsent_leaving_, {});
+        urgent.leaving_upstreams = requests.take_found_leaving();
         bool const any = !urgent.quarantined.marks.empty() ||
                          !urgent.quarantined.clearances.empty() ||
-                         !urgent.leaving.empty();
+                         !urgent.leaving_upstreams.empty();
         if (any)
         {
             urgent_due_ = now + options_.urgent_interval;
--- a/src/core/peer_exchange.hpp
+++ b/src/core/peer_exchange.hpp
@@ -18,7 +18,6 @@
 
 #include <cstdint>
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -64,10 +63,6 @@
     void receive(time_point now, peer_message const& message,
                  request_path& requests);
 
-    // Marks an upstream as leaving and queues this for the peers. The source is
-    // the platform, an operator or a peer.
-    void upstream_leaving(std::string const& upstream, request_path& requests);
-
     // Sets whether this VM holds the fleet's duties. Peers are told and send
     // their counters to the holder.
     void set_holds_duties(bool holds)
@@ -113,8 +108,6 @@
     shared_reading sharing_;
     std::optional<bool> is_reader_; // as last commanded; empty before
     load_sharing loads_;
-    std::set<std::string> known_leaving_;
-    std::vector<std::string> unsent_leaving_;
     // The next peer in the rotation, for each kind of message.
     std::size_t next_urgent_peer_ = 0;
     std::size_t next_usage_peer_ = 0;
--- a/src/core/peer_update.hpp
+++ b/src/core/peer_update.hpp
@@ -34,12 +34,21 @@
     MSGPACK_DEFINE(service, usage)
 };
 
+// An upstream that is shutting down.
+struct leaving_upstream
+{
+    std::string upstream;
+    std::uint64_t incarnation = 0; // a later one is not meant
+    MSGPACK_DEFINE(upstream, incarnation)
+};
+
 // Payload of peer_message_kind::request.
 struct peer_update
 {
     std::vector<service_usage> usage;
     quarantine_delta quarantined;
-    std::vector<std::string> leaving;          // names of upstreams
+    // Names of upstreams, of any incarnation; sent by VMs of earlier versions.
+    std::vector<std::string> leaving;
     std::vector<std::string> handed_over;      // ledger records to append
     std::vector<move_evidence> evidence;       // of version moves
     std::vector<quota_report> quota_reports;   // of quotas; one row at most
@@ -50,9 +59,10 @@
         reading_reports;              // of platform streams; one row at most
     bool holds_duties = false;        // the sender holds the fleet's duties
     std::vector<upstream_load> loads; // of engines
+    std::vector<leaving_upstream> leaving_upstreams;
     MSGPACK_DEFINE(usage, quarantined, leaving, handed_over, evidence,
                    quota_reports, request_counts, move_states, demand,
-                   reading_reports, holds_duties, loads)
+                   reading_reports, holds_duties, loads, leaving_upstreams)
 };
 
 std::string encode(peer_update const& update);
--- a/src/core/request_attempts.cpp
+++ b/src/core/request_attempts.cpp
@@ -177,6 +177,15 @@
     r.version.move_revision.clear();
 }
 
+// When an upstream of `service` will take requests again, as far as is known.
+duration request_path::retry_after_of(time_point now,
+                                      std::string const& service) const
+{
+    auto const available = upstreams_.next_available(service);
+    return available && *available > now ? *available - now
+                                         : no_upstream_retry_after;
+}
+
 void request_path::dispatch(time_point now, row& r)
 {
     if (refuse_if_quarantined(now, r))
@@ -192,13 +201,15 @@
     }
     if (!chosen)
     {
-        refuse(now, r, 503, "no_upstream", no_upstream_retry_after);
+        refuse(now, r, 503, "no_upstream",
+               retry_after_of(now, r.route.service));
         return;
     }
     r.current_stage = stage::running;
     r.attempt = next_attempt_++;
     r.attempt_started = now;
     r.upstream = chosen->upstream;
+    r.upstream_incarnation = upstreams_.row(r.upstream).incarnation;
     ++r.attempts;
     attempts_[r.attempt] = r.request.id;
     if (r.runs_alone)
@@ -256,6 +267,13 @@
             upstreams_.row(r->upstream).profile.name,
             {now, metadata.load->running, metadata.load->waiting, 0});
     }
+    if (!metadata.from_other_upstream)
+    {
+        heed_notice(
+            now,
+            {upstreams_.row(r->upstream).profile.name, r->upstream_incarnation},
+            metadata.notice);
+    }
     bool const not_run = metadata.stated_verdict == verdict::not_run;
     bool const is_server_error = what.status >= http_server_error;
     // The upstream has not stated what this status guarantees, so it is not
--- a/src/core/request_path.cpp
+++ b/src/core/request_path.cpp
@@ -553,7 +553,50 @@
     auto const index = upstreams_.find(upstream);
     if (index)
     {
-        upstreams_.mark_leaving(upstream, upstreams_.row(*index).incarnation);
+        upstream_leaving(
+            leaving_upstream{upstream, upstreams_.row(*index).incarnation});
+    }
+}
+
+void request_path::upstream_leaving(leaving_upstream const& what)
+{
+    if (upstreams_.mark_leaving(what.upstream, what.incarnation))
+    {
+        found_leaving_.push_back(what);
+    }
+}
+
+void request_path::handle(time_point now, upstream_noticed const& what)
+{
+    event_time_ = now;
+    auto const index = upstreams_.find(what.upstream);
+    if (index)
+    {
+        heed_notice(now, {what.upstream, upstreams_.row(*index).incarnation},
+                    what.notice);
+    }
+}
+
+// Stops sending to an upstream that is shutting down or asks for a pause.
+void request_path::heed_notice(time_point now, leaving_upstream const& from,
+                               upstream_notice const& notice)
+{
+    if (notice.leaving &&
+        upstreams_.mark_leaving(from.upstream, from.incarnation))
+    {
+        found_leaving_.push_back(from);
+        add_timeline_entry(
+            "upstream_leaving", "",
+            fmt::format("upstream={} incarnation={} source=answer",
+                        from.upstream, from.incarnation));
+    }
+    if (notice.pause &&
+        upstreams_.pause(from.upstream, from.incarnation, now + *notice.pause))
+    {
+        add_timeline_entry("upstream_paused", "",
+                           fmt::format("upstream={} incarnation={} for_ms={}",
+                                       from.upstream, from.incarnation,
+                                       to_millis(*notice.pause)));
     }
 }
 
--- a/src/core/request_path.hpp
+++ b/src/core/request_path.hpp
@@ -138,8 +138,20 @@
     void tick(time_point now);
 
     // Some source reported that an upstream is shutting down: it gets no new
-    // requests from now on.
+    // requests from now on. Without an incarnation, the known one is meant.
     void upstream_leaving(std::string const& upstream);
+    void upstream_leaving(leaving_upstream const& what);
+
+    // Returns and clears the upstreams marked as leaving by upstream_leaving or
+    // by their own answers, for the peers.
+    std::vector<leaving_upstream> take_found_leaving()
+    {
+        return std::exchange(found_leaving_, {});
+    }
+
+    // An upstream said something about itself in an answer other than to a
+    // caller's request.
+    void handle(time_point now, upstream_noticed const& what);
 
     // Addition, update or removal of an upstream in the platform's directory.
     void handle(time_point now, upstream_listed const& what);
@@ -250,6 +262,7 @@
         std::optional<run_id> ledger_run;
         attempt_id attempt = 0;      // current; 0 if none
         upstream_index upstream = 0; // of the current attempt
+        std::uint64_t upstream_incarnation = 0;
         time_point attempt_started;
         std::uint32_t attempts = 0;
         std::uint8_t urgency = 0;       // see attempt_metadata
@@ -327,6 +340,9 @@
     void expire(time_point now, row& r, int status, std::string reason);
 
     void forget_upstream(std::string const& name);
+    void heed_notice(time_point now, leaving_upstream const& from,
+                     upstream_notice const& notice);
+    duration retry_after_of(time_point now, std::string const& service) const;
     admission_options admission_for(std::string const& service) const;
     admission& admission_of(std::string const& service);
     void refresh_limit(std::string const& service);
@@ -366,6 +382,7 @@
     std::map<attempt_id, request_id> attempts_;
     std::optional<time_point> stop_deadline_;
     std::vector<std::string> handed_over_; // records to be sent to peers
+    std::vector<leaving_upstream> found_leaving_;
 };
 
 } // namespace amarantharch
--- a/src/core/upstream_table.cpp
+++ b/src/core/upstream_table.cpp
@@ -10,6 +10,9 @@
 namespace
 {
 
+// Bounds the memory taken by upstreams that are gone for good.
+constexpr std::size_t max_removed = 1'024;
+
 std::uint64_t hash_of(std::string const& name)
 {
     return XXH3_64bits(name.data(), name.size());
@@ -34,6 +37,7 @@
         rows_[index] = upstream_row{};
         rows_[index].incarnation = incarnation;
         rows_[index].profile = std::move(profile);
+        restore_removed(rows_[index]);
         by_name_.emplace(rows_[index].profile.name, index);
         add_to_ring(index);
         return index;
@@ -50,6 +54,7 @@
         row.leaving = false;
         row.quarantined = false;
         row.ejected_until = time_point();
+        row.paused_until = time_point();
         row.report.reset();
     }
     remove_from_ring(index);
@@ -91,11 +96,71 @@
     }
     upstream_index const index = by_name_.find(name)->second;
     remove_from_ring(index);
+    remember_removed(*row);
     row->present = false;
     by_name_.erase(by_name_.find(name));
     return true;
 }
 
+bool upstream_table::pause(std::string_view name, std::uint64_t incarnation,
+                           time_point until)
+{
+    upstream_row* const row = find_row(name, incarnation);
+    if (row == nullptr || until <= row->paused_until)
+    {
+        return false;
+    }
+    row->paused_until = until;
+    return true;
+}
+
+std::optional<time_point>
+upstream_table::next_available(std::string_view service) const
+{
+    std::optional<time_point> earliest;
+    for (ring_point const& point : ring(service))
+    {
+        upstream_row const& row = rows_[point.upstream];
+        if (row.leaving || row.quarantined)
+        {
+            continue;
+        }
+        time_point const at = std::max(row.ejected_until, row.paused_until);
+        earliest = std::min(earliest.value_or(at), at);
+    }
+    return earliest;
+}
+
+void upstream_table::remember_removed(upstream_row const& row)
+{
+    auto const [place, added] = removed_.insert_or_assign(
+        row.profile.name, removed_row{row.incarnation, row.leaving,
+                                      row.quarantined, row.paused_until});
+    if (added)
+    {
+        removed_order_.push_back(row.profile.name);
+    }
+    if (removed_order_.size() > max_removed)
+    {
+        removed_.erase(removed_order_.front());
+        removed_order_.pop_front();
+    }
+}
+
+void upstream_table::restore_removed(upstream_row& row)
+{
+    auto const known = removed_.find(row.profile.name);
+    // Incarnation 0 is unknown: it may have started again.
+    if (row.incarnation == 0 || known == removed_.end() ||
+        known->second.incarnation != row.incarnation)
+    {
+        return;
+    }
+    row.leaving = known->second.leaving;
+    row.quarantined = known->second.quarantined;
+    row.paused_until = known->second.paused_until;
+}
+
 std::optional<upstream_index> upstream_table::find(std::string_view name) const
 {
     auto const known = by_name_.find(name);
--- a/src/core/upstream_table.hpp
+++ b/src/core/upstream_table.hpp
@@ -5,7 +5,9 @@
 // flight, so an index held by an attempt stays valid. The flags that stop new
 // work (leaving, quarantined) are never cleared within one incarnation of an
 // upstream: they may be merged from any source, in any order and repeatedly,
-// and never flap. A higher incarnation starts with both flags cleared.
+// and never flap. A higher incarnation starts with both flags cleared. An
+// upstream that is removed and comes back in the same incarnation, as after an
+// outage of the directory, still has its flags and its pause.
 //
 // Cost: lookup by name is O(log upstreams); a row takes about 300 bytes.
 #ifndef AMARANTHARCH_CORE_UPSTREAM_TABLE_HPP
@@ -15,6 +17,7 @@
 #include "core/time.hpp"
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -62,13 +65,15 @@
     bool leaving = false;        // never cleared within an incarnation
     bool quarantined = false;    // never cleared within an incarnation
     time_point ejected_until;    // set by outlier_detector
+    time_point paused_until;     // requested by the upstream itself
     std::uint32_t in_flight = 0; // attempts of this VM
     std::optional<upstream_report> report;
 
     // Whether new work may be sent to it.
     bool takes_work(time_point now) const
     {
-        return present && !leaving && !quarantined && ejected_until <= now;
+        return present && !leaving && !quarantined && ejected_until <= now &&
+               paused_until <= now;
     }
 };
 
@@ -76,8 +81,8 @@
 {
 public:
     // Adds an upstream or replaces its profile. A higher incarnation than the
-    // known one clears its flags, its ejection and its report; a lower one is
-    // ignored. Returns its index.
+    // known one clears its flags, its ejection, its pause and its report; a
+    // lower one is ignored. Returns its index.
     upstream_index put(upstream_profile profile, std::uint64_t incarnation = 0);
 
     // Each of these ignores unknown names and incarnations that differ from the
@@ -86,6 +91,14 @@
     bool mark_quarantined(std::string_view name, std::uint64_t incarnation);
     bool remove(std::string_view name, std::uint64_t incarnation);
 
+    // Sends it nothing until `until`, or for as long as is known already.
+    bool pause(std::string_view name, std::uint64_t incarnation,
+               time_point until);
+
+    // When the first present upstream of `service` that is neither leaving nor
+    // quarantined takes work; nothing if there is none.
+    std::optional<time_point> next_available(std::string_view service) const;
+
     std::optional<upstream_index> find(std::string_view name) const;
 
     upstream_row& row(upstream_index index)
@@ -114,6 +127,17 @@
     std::vector<ring_point> const& ring(std::string_view service) const;
 
 private:
+    // What still holds for a removed upstream if it comes back.
+    struct removed_row
+    {
+        std::uint64_t incarnation = 0;
+        bool leaving = false;
+        bool quarantined = false;
+        time_point paused_until;
+    };
+
+    void remember_removed(upstream_row const& row);
+    void restore_removed(upstream_row& row);
     upstream_row* find_row(std::string_view name, std::uint64_t incarnation);
     void add_to_ring(upstream_index index);
     void remove_from_ring(upstream_index index);
@@ -125,6 +149,8 @@
     // Each present row is in the ring of its service and in no other; each ring
     // is in hash order.
     std::map<std::string, std::vector<ring_point>, std::less<>> rings_;
+    std::map<std::string, removed_row> removed_;
+    std::deque<std::string> removed_order_; // names, the oldest first
 };
 
 } // namespace amarantharch
