Usage of quotas and loads of engines go over hubs in a large fleet

Ruled out: sampling fewer VMs (a VM not heard for 1.5 s counts as using its whole share); caching the walks only (the messages cost more). Change: the readers are chosen among the VMs with the most processor time. VMs report their usage to the hubs of their cell and hear one sum over all VMs; hubs merge the sums of other cells by the progress of each relay, so nothing counts twice. Loads from answers go along, and an engine whose load is known is not read. Under excess demand all VMs admit the same share by chance, since an even part of a large fleet is less than one request. Counters go out once a second.

--- a/src/app/server.cpp
+++ b/src/app/server.cpp
@@ -101,6 +101,7 @@
     if (options.platform_process)
     {
         apply_platform(*options.platform_process, result.requests);
+        result.control.millicores = options.platform_process->millicores;
         result.duties = duties_of(*options.platform_process, incarnation);
         result.usage_interval = platform_usage_interval;
     }
--- a/src/core/control_plane.cpp
+++ b/src/core/control_plane.cpp
@@ -41,6 +41,7 @@
     result.vm = options.vm;
     result.address = options.address;
     result.failure_domain = options.failure_domain;
+    result.millicores = options.millicores;
     result.incarnation = options.incarnation;
     result.seed = options.seed;
     return result;
--- a/src/core/control_plane.hpp
+++ b/src/core/control_plane.hpp
@@ -34,6 +34,7 @@
     std::string vm;
     std::string address; // ip:port of this VM's peer listener
     std::string failure_domain;
+    std::uint32_t millicores = 0;  // of this VM; 0: not known
     std::uint64_t incarnation = 1; // microseconds since the epoch at the start
     std::uint64_t seed = 1;
     bool uses_log = true; // false: a single VM, configured by its settings
--- a/src/core/load_sharing.hpp
+++ b/src/core/load_sharing.hpp
@@ -6,6 +6,9 @@
 // streams on behalf of others (see shared_reading) poll each engine in turn and
 // send the loads on.
 //
+// VMs also send the readers the loads that answers to callers' requests give,
+// so that engines in use need no reads of their own.
+//
 // The router uses the reports and bounds their error by their age.
 // Cost at a reader: one call for each engine in read_interval; at the other
 // VMs: one message from each reader in send_interval.
@@ -17,6 +20,7 @@
 
 #include <msgpack.hpp>
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -56,10 +60,24 @@
     std::vector<upstream_index>
     take_due_engines(time_point now, upstream_table const& upstreams);
 
-    // Stores an engine's report, to be sent to others.
+    // Stores an engine's report, to be sent to others, and puts off its next
+    // read.
     void add_report(std::string const& upstream, upstream_report const& report)
     {
-        unsent_reports_[upstream] = report;
+        upstream_report& kept = unsent_reports_[upstream];
+        if (kept.measured_at <= report.measured_at)
+        {
+            kept = report;
+        }
+        on_heard(upstream, report.measured_at);
+    }
+
+    // An engine's load at `measured_at` is known here: no read is needed until
+    // it is read_interval old.
+    void on_heard(std::string const& upstream, time_point measured_at)
+    {
+        time_point& next = next_read_[upstream];
+        next = std::max(next, measured_at + options_.read_interval);
     }
 
     // The reports not yet sent; empty until send_interval has passed.
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -363,6 +363,13 @@
                  listed.failure_domain},
                 false);
         }
+        auto const known = members_.find(listed.vm);
+        if (known != members_.end() &&
+            known->second.millicores != listed.millicores)
+        {
+            known->second.millicores = listed.millicores;
+            ranks_.clear();
+        }
     }
 }
 
@@ -636,13 +643,15 @@
     {
         return known->second < count;
     }
-    auto const own = rendezvous_hash(purpose, options_.vm);
+    selection_rank const own{options_.millicores,
+                             rendezvous_hash(purpose, options_.vm)};
     auto const before = std::ranges::count_if(
         members_,
         [&](auto const& entry)
         {
             return entry.second.state() == member_state::live &&
-                   rendezvous_hash(purpose, entry.first) > own;
+                   selection_rank{entry.second.millicores,
+                                  rendezvous_hash(purpose, entry.first)} > own;
         });
     auto const rank = static_cast<std::size_t>(before);
     ranks_.emplace(purpose, rank);
@@ -653,12 +662,14 @@
 membership::others_selected_for(std::string_view purpose,
                                 std::size_t count) const
 {
-    std::vector<std::pair<std::uint64_t, std::string>> ranked;
+    std::vector<std::pair<selection_rank, std::string>> ranked;
     for (auto const& [vm, row] : members_)
     {
         if (row.state() == member_state::live)
         {
-            ranked.emplace_back(rendezvous_hash(purpose, vm), vm);
+            ranked.emplace_back(
+                selection_rank{row.millicores, rendezvous_hash(purpose, vm)},
+                vm);
         }
     }
     bool const own = is_selected_for(purpose, count);
--- a/src/core/membership.hpp
+++ b/src/core/membership.hpp
@@ -67,6 +67,7 @@
     bool leaving = false;
     time_point since{};    // when its health last changed, as seen here
     log_position revision; // in force at the member, as far as known here
+    std::uint32_t millicores = 0; // 0: not known
 
     member_state state() const;
     // The update to send about this member, with its address or without.
@@ -79,6 +80,7 @@
     std::string vm;
     std::string address;
     std::string failure_domain;
+    std::uint32_t millicores = 0; // 0: not known
 };
 
 struct member_change
@@ -93,6 +95,7 @@
     std::string vm;
     std::string address;
     std::string failure_domain;
+    std::uint32_t millicores = 0;  // of this VM; 0: not known
     std::uint64_t incarnation = 1; // microseconds since the epoch at the start
     std::uint64_t seed = 0;
     duration probe_period = std::chrono::seconds(1);
@@ -177,8 +180,9 @@
     {
         return fleet_size_;
     }
-    // Whether this VM is one of the `count` VMs selected for `purpose` by
-    // rendezvous hashing over the live members. All VMs agree once they see the
+    // Whether this VM is one of the `count` VMs selected for `purpose`: those
+    // with the most processor time and, among equals, by rendezvous hashing
+    // over the live members. All VMs agree once they see the
     // same members, and few selections change when one leaves; until then they
     // may differ, so a selection is no exclusive right.
     // O(members) after a change of the members, else O(log purposes).
@@ -207,6 +211,14 @@
     }
 
 private:
+    // Orders VMs for a purpose, the greatest first.
+    struct selection_rank
+    {
+        std::uint32_t millicores;
+        std::uint64_t hash;
+        auto operator<=>(selection_rank const&) const = default;
+    };
+
     struct probe
     {
         std::string vm;
--- a/src/core/membership_test.cpp
+++ b/src/core/membership_test.cpp
@@ -592,6 +592,26 @@
     BOOST_CHECK_EQUAL(count_selected(), 4);
 }
 
+BOOST_AUTO_TEST_CASE(leave_a_duty_to_those_with_the_most_processor_time)
+{
+    membership_options options{"vm-0", "10.0.0.1:1000", "zone"};
+    options.millicores = 120;
+    membership subject(options);
+    std::vector<listed_member> listed;
+    for (std::uint32_t i = 1; i < 40; ++i)
+    {
+        std::uint32_t const millicores = i % 10 == 0 ? 500 : 120;
+        listed.push_back({fmt::format("vm-{}", i),
+                          fmt::format("10.0.0.1:{}", 1000 + i), "zone",
+                          millicores});
+    }
+    subject.apply_vm_list(from_micros(first_start), listed);
+    auto const chosen = subject.others_selected_for("configuration", 3);
+    BOOST_TEST(std::set<std::string>(chosen.begin(), chosen.end()) ==
+               (std::set<std::string>{"vm-10", "vm-20", "vm-30"}));
+    BOOST_TEST(!subject.is_selected_for("configuration", 3));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_CASE(ignore_what_is_no_message_or_speaks_for_another)
--- a/src/core/peer_exchange.cpp
+++ b/src/core/peer_exchange.cpp
@@ -17,7 +17,7 @@
 
 peer_exchange::peer_exchange(peer_exchange_options options, command_sink emit)
     : options_(std::move(options)), emit_(std::move(emit)),
-      sharing_(options_.vm)
+      sharing_(options_.vm), quota_relay_({options_.vm, options_.incarnation})
 {
 }
 
@@ -32,6 +32,7 @@
     if (update->holds_duties)
     {
         duty_holder_ = message.vm;
+        duty_claim_ = {message.vm, now};
     }
     for (service_usage const& row : update->usage)
     {
@@ -47,10 +48,7 @@
     {
         requests.moves().apply(now, update->move_states);
     }
-    for (quota_report const& row : update->quota_reports)
-    {
-        requests.quotas().merge(now, row);
-    }
+    merge_quotas(now, message, *update, requests);
     for (demand_report const& row : update->demand)
     {
         requests.demand().merge(now, row);
@@ -74,9 +72,13 @@
     }
     for (upstream_load const& load : update->loads)
     {
-        requests.upstream_reported(
-            load.upstream,
-            {now - duration(load.age_us), load.running, load.waiting, 0});
+        upstream_report const report{now - duration(load.age_us), load.running,
+                                     load.waiting, 0};
+        requests.upstream_reported(load.upstream, report);
+        // What another hub sends, it sends to the whole cell.
+        bool const from_hub = update->cell.empty();
+        from_hub ? loads_.on_heard(load.upstream, report.measured_at)
+                 : loads_.add_report(load.upstream, report);
     }
     for (reading_report const& report : update->reading_reports)
     {
@@ -84,6 +86,39 @@
     }
 }
 
+void peer_exchange::merge_quotas(time_point now, peer_message const& from,
+                                 peer_update const& update,
+                                 request_path& requests)
+{
+    for (quota_report const& row : update.quota_reports)
+    {
+        requests.quotas().merge(now, row);
+    }
+    for (quota_report const& row : update.relayed_quotas)
+    {
+        if (row.vm == from.vm) // else not the sender's to report
+        {
+            quota_relay_.add(now, update.cell, row);
+        }
+    }
+    bool const from_other_hub =
+        !update.quota_sums.empty() && !update.quota_sums.front().cell.empty();
+    for (quota_sum const& sum : update.quota_sums)
+    {
+        sum.cell.empty() ? requests.quotas().merge(now, sum)
+                         : quota_relay_.add(now, sum);
+    }
+    if (update.duty_holder.empty())
+    {
+        return;
+    }
+    duty_holder_ = update.duty_holder;
+    if (from_other_hub)
+    {
+        other_cells_claim_ = {update.duty_holder, now};
+    }
+}
+
 void peer_exchange::send_readings(streams_read const& streams,
                                   membership const& members)
 {
@@ -105,7 +140,7 @@
     }
     if (is_reader_.value_or(false))
     {
-        share_loads(now, members, requests.upstreams());
+        read_loads(now, requests.upstreams());
     }
     if (now >= urgent_due_)
     {
@@ -150,15 +185,19 @@
                           reads ? "reads=yes" : "reads=no"});
 }
 
-// Polls engines for their load and sends it to the VMs that this one reads for.
-void peer_exchange::share_loads(time_point now, membership const& members,
-                                upstream_table const& upstreams)
+// Polls the engines whose load is not known from answers.
+void peer_exchange::read_loads(time_point now, upstream_table const& upstreams)
 {
     for (upstream_index const index : loads_.take_due_engines(now, upstreams))
     {
         upstream_profile const& profile = upstreams.row(index).profile;
         emit_(read_upstream_load{profile.name, profile.address});
     }
+}
+
+// In a small fleet, a reader sends the loads that it has read to all.
+void peer_exchange::send_loads(time_point now, membership const& members)
+{
     peer_update update;
     update.loads = loads_.take_due_loads(now);
     if (!update.loads.empty())
@@ -167,46 +206,151 @@
     }
 }
 
+// Sends this VM's usage of quotas and the loads that it has seen to the hubs of
+// its cell.
+void peer_exchange::send_to_hubs(time_point now, membership const& members,
+                                 request_path& requests)
+{
+    peer_update update;
+    update.cell = sharing_.own_cell(members);
+    update.holds_duties = holds_duties_;
+    if (holds_duties_)
+    {
+        duty_claim_ = {options_.vm, now};
+    }
+    update.relayed_quotas = {
+        requests.quotas().report(now, options_.vm, options_.incarnation)};
+    for (auto const& [upstream, report] : requests.take_answer_loads())
+    {
+        loads_.add_report(upstream, report);
+        update.loads.push_back({upstream, report.running, report.waiting,
+                                (now - report.measured_at).count()});
+    }
+    quota_relay_.add(now, update.cell, update.relayed_quotas.front());
+    send(sharing_.own_readers(members), update);
+}
+
+// The VM of a claim that is not out of date. What a hub has heard from hubs of
+// its own cell is none: it would go round between them.
+std::string peer_exchange::recent_claim(time_point now,
+                                        holder_claim const& claim) const
+{
+    return now - claim.heard_at <= options_.claim_lifetime ? claim.vm
+                                                           : std::string();
+}
+
+// As a hub: sends each cell that this VM reads for the usage of all VMs and the
+// loads of engines, and the other hubs the usage of its cells.
+void peer_exchange::serve_as_hub(time_point now, membership const& members,
+                                 request_path& requests)
+{
+    peer_update to_hubs;
+    to_hubs.duty_holder = recent_claim(now, duty_claim_);
+    std::string const claimant = to_hubs.duty_holder.empty()
+                                     ? recent_claim(now, other_cells_claim_)
+                                     : to_hubs.duty_holder;
+    std::vector<upstream_load> const loads = loads_.take_due_loads(now);
+    for (std::string const& cell : sharing_.cells_read(members))
+    {
+        to_hubs.quota_sums.push_back(quota_relay_.cell_sum(now, cell));
+        peer_update update;
+        update.quota_sums = {quota_relay_.fleet_sum(now, cell)};
+        update.loads = loads;
+        update.duty_holder = claimant;
+        if (cell == sharing_.own_cell(members))
+        {
+            requests.quotas().merge(now, update.quota_sums.front());
+        }
+        send(sharing_.members_of(members, cell), update);
+    }
+    if (!to_hubs.quota_sums.empty())
+    {
+        send(sharing_.other_readers(members), to_hubs);
+    }
+}
+
 // Sends what this VM has served and admitted. In a small fleet every peer
 // receives everything in one message. In a larger one each part goes to the VMs
-// that use it: request counts to the VMs that hold or watch over the fleet's
-// duties, quota usage to all peers in turn within quota_interval, and the rest
-// to a few peers in turn.
+// that use it: counters to the VMs that hold or watch over the fleet's duties,
+// quota usage to the hubs or, without hubs, to all peers in turn within
+// quota_interval, and the rest to a few peers in turn.
 void peer_exchange::send_usage(time_point now, membership const& members,
                                request_path& requests)
 {
-    peer_update shares;
-    shares.usage = requests.usage(options_.vm, options_.incarnation);
-    shares.evidence =
-        requests.moves().evidence(options_.vm, options_.incarnation);
-    if (options_.spreads_moves)
+    std::vector<std::string> const peers = reachable_peers(members);
+    if (peers.size() <= options_.usage_fanout)
     {
-        shares.move_states = requests.moves().state_records();
+        peer_update all = counters(now, requests);
+        add_shares(all, requests);
+        all.quota_reports = {
+            requests.quotas().report(now, options_.vm, options_.incarnation)};
+        send(peers, all);
+        send_loads(now, members);
+        return;
     }
-    peer_update counts;
-    counts.request_counts =
+    if (options_.shares_reading)
+    {
+        send_to_hubs(now, members, requests);
+        serve_as_hub(now, members, requests);
+    }
+    else
+    {
+        peer_update quotas;
+        quotas.holds_duties = holds_duties_;
+        quotas.quota_reports = {
+            requests.quotas().report(now, options_.vm, options_.incarnation)};
+        send(next_peers(members, quota_fanout(peers.size()), next_quota_peer_),
+             quotas);
+    }
+    send_counters(now, members, requests);
+}
+
+// What the holder of the duties and the mover of versions need of every VM.
+peer_update peer_exchange::counters(time_point now,
+                                    request_path& requests) const
+{
+    peer_update update;
+    update.request_counts =
         requests.started_usage().report(now, options_.vm, options_.incarnation);
-    counts.demand = {
+    update.demand = {
         requests.demand().report(options_.vm, options_.incarnation)};
-    peer_update quotas;
-    shares.holds_duties = holds_duties_;
-    quotas.holds_duties = holds_duties_;
-    quotas.quota_reports = {
-        requests.quotas().report(now, options_.vm, options_.incarnation)};
-    std::vector<std::string> const peers = reachable_peers(members);
-    if (peers.size() <= options_.usage_fanout)
+    update.evidence =
+        requests.moves().evidence(options_.vm, options_.incarnation);
+    return update;
+}
+
+void peer_exchange::add_shares(peer_update& into, request_path& requests) const
+{
+    into.usage = requests.usage(options_.vm, options_.incarnation);
+    into.holds_duties = holds_duties_;
+    if (options_.spreads_moves)
+    {
+        into.move_states = requests.moves().state_records();
+    }
+}
+
+// Once in a counter_interval; evidence of a version move in progress goes out
+// each time, since a bad version serves requests until it has arrived.
+void peer_exchange::send_counters(time_point now, membership const& members,
+                                  request_path& requests)
+{
+    bool const due = now >= counters_due_;
+    if (!due &&
+        requests.moves().evidence(options_.vm, options_.incarnation).empty())
     {
-        shares.request_counts = std::move(counts.request_counts);
-        shares.demand = std::move(counts.demand);
-        shares.quota_reports = std::move(quotas.quota_reports);
-        send(peers, shares);
         return;
     }
-    send(next_peers(members, options_.usage_fanout, next_usage_peer_), shares);
-    send(next_peers(members, quota_fanout(peers.size()), next_quota_peer_),
-         quotas);
-    counts.evidence = std::move(shares.evidence);
-    send(counter_recipients(members), counts);
+    peer_update const update = counters(now, requests);
+    send(counter_recipients(members), update);
+    if (due)
+    {
+        counters_due_ = now + options_.counter_interval;
+        peer_update shares;
+        add_shares(shares, requests);
+        shares.evidence = update.evidence;
+        send(next_peers(members, options_.usage_fanout, next_usage_peer_),
+             shares);
+    }
 }
 
 // The peers that need the counters of all VMs: those selected to watch over the
--- a/src/core/peer_exchange_test.cpp
+++ b/src/core/peer_exchange_test.cpp
@@ -22,11 +22,12 @@
 // One VM among live peers. Keeps the updates that it sends, by receiver.
 struct vm
 {
-    explicit vm(std::size_t peers)
+    explicit vm(std::size_t peers, bool with_hubs = false)
         : members(own_membership()),
           requests(
               path_options(), [](command const&) {}, [](std::string const&) {}),
-          exchange(exchange_options(), [this](command const& c) { keep(c); })
+          exchange(exchange_options(with_hubs),
+                   [this](command const& c) { keep(c); })
     {
         std::vector<member_update> updates;
         for (std::size_t i = 0; i < peers; ++i)
@@ -57,9 +58,10 @@
         return options;
     }
 
-    static peer_exchange_options exchange_options()
+    static peer_exchange_options exchange_options(bool with_hubs)
     {
         peer_exchange_options options;
+        options.shares_reading = with_hubs;
         options.vm = "own";
         options.usage_interval = milliseconds(300);
         return options;
@@ -184,6 +186,85 @@
     BOOST_TEST(own.count(holder, has_demand) > 0u);
 }
 
+BOOST_AUTO_TEST_SUITE(with_hubs)
+
+std::size_t messages(vm const& own)
+{
+    std::size_t count = 0;
+    for (auto const& [peer, updates] : own.sent)
+    {
+        count += updates.size();
+    }
+    return count;
+}
+
+bool is_relayed(peer_update const& update)
+{
+    return !update.relayed_quotas.empty();
+}
+
+// A VM that is no hub itself; `own` is one in some fleets.
+std::size_t fleet_without_own_hub(std::size_t from)
+{
+    for (std::size_t size = from;; ++size)
+    {
+        vm own(size, true);
+        if (!shared_reading("own").is_reader(own.members))
+        {
+            return size;
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(costs_as_many_messages_in_a_fleet_of_any_size)
+{
+    for (std::size_t const size : {20u, 195u, 1'200u})
+    {
+        vm own(fleet_without_own_hub(size), true);
+        own.run(seconds(3));
+        // Each 300 ms to two hubs, each second to three watchers and eight
+        // others.
+        BOOST_TEST(messages(own) <= 10 * 2 + 3 * 3 + 3 * 8u, size);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(tells_the_hubs_of_the_own_cell_only)
+{
+    vm own(fleet_without_own_hub(195), true);
+    own.run(seconds(1));
+    auto const hubs = shared_reading("own").own_readers(own.members);
+    BOOST_TEST(hubs.size() == 2u);
+    std::size_t receivers = 0;
+    for (auto const& [peer, updates] : own.sent)
+    {
+        receivers += own.count(peer, is_relayed) > 0 ? 1 : 0;
+    }
+    BOOST_TEST(receivers == hubs.size());
+    BOOST_TEST(own.count(hubs.front(), is_relayed) >= 3u);
+}
+
+BOOST_AUTO_TEST_CASE(takes_no_report_on_behalf_of_another_vm)
+{
+    vm own(20, true);
+    peer_update forged;
+    forged.cell = shared_reading("own").own_cell(own.members);
+    forged.relayed_quotas = {{"vm1", 1, 1, {{"heavy", 1e9}}}};
+    own.receive("vm2", forged);
+    own.run(seconds(1));
+    for (auto const& [peer, updates] : own.sent)
+    {
+        for (peer_update const& update : updates)
+        {
+            for (quota_sum const& sum : update.quota_sums)
+            {
+                BOOST_TEST(sum.spent.empty());
+            }
+        }
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/core/peer_update.hpp
+++ b/src/core/peer_update.hpp
@@ -60,9 +60,16 @@
     bool holds_duties = false;        // the sender holds the fleet's duties
     std::vector<upstream_load> loads; // of engines
     std::vector<leaving_upstream> leaving_upstreams;
+    // From a VM of a large fleet to the relays of `cell`: its usage of quotas,
+    // and the loads that answers gave since its last message. One row at most.
+    std::vector<quota_report> relayed_quotas;
+    std::string cell;
+    std::vector<quota_sum> quota_sums; // from a relay
+    std::string duty_holder;           // from a relay: who claims the duties
     MSGPACK_DEFINE(usage, quarantined, leaving, handed_over, evidence,
                    quota_reports, request_counts, move_states, demand,
-                   reading_reports, holds_duties, loads, leaving_upstreams)
+                   reading_reports, holds_duties, loads, leaving_upstreams,
+                   relayed_quotas, cell, quota_sums, duty_holder)
 };
 
 std::string encode(peer_update const& update);
--- a/src/core/request_attempts.cpp
+++ b/src/core/request_attempts.cpp
@@ -263,9 +263,14 @@
         r->request.id, what.status, what.headers);
     if (metadata.load)
     {
-        upstream_reported(
-            upstreams_.row(r->upstream).profile.name,
-            {now, metadata.load->running, metadata.load->waiting, 0});
+        upstream_profile const& profile = upstreams_.row(r->upstream).profile;
+        upstream_report const report{now, metadata.load->running,
+                                     metadata.load->waiting, 0};
+        upstream_reported(profile.name, report);
+        if (profile.kind == upstream_kind::engine)
+        {
+            answer_loads_[profile.name] = report;
+        }
     }
     if (!metadata.from_other_upstream)
     {
--- a/src/core/request_path.hpp
+++ b/src/core/request_path.hpp
@@ -161,6 +161,13 @@
     void upstream_reported(std::string const& upstream,
                            upstream_report const& report);
 
+    // Returns and clears the latest load that answers to callers' requests gave
+    // of each engine.
+    std::map<std::string, upstream_report> take_answer_loads()
+    {
+        return std::exchange(answer_loads_, {});
+    }
+
     // Applies the next batch of the requests stream.
     void apply(time_point now, log_batch const& batch);
     void set_log_reachable(time_point now, bool reachable);
@@ -383,6 +390,7 @@
     std::optional<time_point> stop_deadline_;
     std::vector<std::string> handed_over_; // records to be sent to peers
     std::vector<leaving_upstream> found_leaving_;
+    std::map<std::string, upstream_report> answer_loads_;
 };
 
 } // namespace amarantharch
--- a/src/core/shared_quota.cpp
+++ b/src/core/shared_quota.cpp
@@ -1,6 +1,9 @@
 #include "core/shared_quota.hpp"
 
+#include <fmt/format.h>
+
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace amarantharch
@@ -15,6 +18,11 @@
 constexpr double rate_gain = 0.5;
 // Weight of the newest request in the moving average of the size.
 constexpr double mean_gain = 0.05;
+// The own reports that are kept: a sum includes one of the last few.
+constexpr std::size_t kept_reports = 64;
+// Between updates of the fleet's rates: sums of two relays come in turn, and
+// one of them tells little that is new.
+constexpr duration rate_interval = std::chrono::milliseconds(250);
 
 double seconds_between(time_point from, time_point to)
 {
@@ -28,6 +36,7 @@
 {
     auto const [place, added] = buckets_.try_emplace(organisation);
     bucket& b = place->second;
+    started_at_ = started_at_.value_or(now);
     if (added)
     {
         b.filled_at = now;
@@ -49,6 +58,7 @@
     }
     bucket& b = known->second;
     charge_silent_peers(now);
+    charge_silent_fleet(now);
     fill(now, b);
     quota_decision decision;
     decision.level = b.level;
@@ -57,13 +67,16 @@
     double const mean = b.mean_units == 0 ? units : b.mean_units;
     b.mean_units = mean + mean_gain * (units - mean);
     double const needed = std::min(mean, bucket_capacity(b.quota));
-    double const room =
-        std::min(decision.level - decision.unheard, remaining_until_report(b));
+    double const room = std::min(decision.level - decision.unheard,
+                                 remaining_until_report(now, b));
     double const missing = needed - room;
-    if (missing > 0)
+    if (missing > 0 ||
+        (has_relays_ &&
+         !passes_by_chance(b, decision.level - decision.unheard)))
     {
         auto const wait = duration(static_cast<std::int64_t>(
-            missing / (fill_rate(b.quota) * decision.share) * 1e6));
+            std::max(missing, 0.0) / (fill_rate(b.quota) * decision.share) *
+            1e6));
         decision.allowed = false;
         decision.retry_after =
             std::clamp(wait, min_retry_after, max_retry_after);
@@ -77,11 +90,13 @@
 
 // What this VM may still admit before its next report. The first request after
 // a report is limited by the bucket alone.
-double shared_quota::remaining_until_report(bucket const& b) const
+double shared_quota::remaining_until_report(time_point now,
+                                            bucket const& b) const
 {
     double const vms =
         static_cast<double>(std::max(peers_.size() + 1, listed_vms_));
-    if (vms <= 1 || b.unreported <= 0)
+    bool const first_is_free = b.unreported <= 0 && !knows_no_usage(now);
+    if (vms <= 1 || first_is_free || has_relays_)
     {
         return bucket_capacity(b.quota);
     }
@@ -90,6 +105,48 @@
     return part * options_.skew - b.unreported;
 }
 
+bool shared_quota::passes_by_chance(bucket const& b, double level)
+{
+    if (b.admitted_share >= 1)
+    {
+        return true;
+    }
+    double const room = level / (bucket_capacity(b.quota) * options_.low_level);
+    double const chance = b.admitted_share * std::clamp(room, 0.0, 1.0);
+    return std::uniform_real_distribution<>()(random_) < chance;
+}
+
+// `admitted_rate`: units a second that the fleet admits. The share is first set
+// to what of the demand the quota allows, since before that the fleet admits
+// all of it; then it follows slowly, as the rate shows its effect late.
+void shared_quota::update_admitted_share(bucket& b, double level,
+                                         double admitted_rate) const
+{
+    double const capacity = bucket_capacity(b.quota);
+    bool const unlimited = b.admitted_share >= 1;
+    if (admitted_rate <= 0 ||
+        (unlimited && level >= capacity * options_.low_level))
+    {
+        return;
+    }
+    // Above the middle the level shows that the quota is not used up.
+    double const spare = (level - capacity / 2) / capacity;
+    double const wanted =
+        fill_rate(b.quota) *
+        (1 + options_.level_gain * std::clamp(spare, -1., 1.));
+    double const ratio = wanted / admitted_rate;
+    double const factor =
+        unlimited ? ratio : std::pow(ratio, options_.share_gain);
+    b.admitted_share =
+        std::clamp(b.admitted_share * factor, options_.min_admitted_share, 1.0);
+}
+
+bool shared_quota::knows_no_usage(time_point now) const
+{
+    return !heard_any_ && started_at_ &&
+           now - *started_at_ < options_.silence_timeout;
+}
+
 // Drains from the buckets, once for each silent peer, what it has probably
 // admitted between its last report and the time from which it counts as silent.
 void shared_quota::charge_silent_peers(time_point now)
@@ -166,6 +223,11 @@
         all += age <= options_.peer_timeout ? 1 : 0;
         heard += age <= options_.silence_timeout ? 1 : 0;
     }
+    if (hears_fleet(now))
+    {
+        heard = std::max(heard, static_cast<double>(fleet_.members));
+    }
+    all = std::max(all, heard);
     return heard / std::max(all, static_cast<double>(listed_vms_));
 }
 
@@ -184,22 +246,74 @@
             units += known->second.rate * seconds_between(peer.heard_at, now);
         }
     }
+    auto const rate = fleet_.rates.find(organisation);
+    if (rate != fleet_.rates.end() && hears_fleet(now))
+    {
+        units += rate->second * seconds_between(fleet_.heard_at, now);
+    }
     return units;
 }
 
+bool shared_quota::hears_fleet(time_point now) const
+{
+    return fleet_.members > 0 &&
+           now - fleet_.heard_at <= options_.silence_timeout;
+}
+
+// Once the relays are silent, this VM is on its own: it keeps its even part of
+// what the buckets hold, less what the others have probably admitted since the
+// last sum. What they admit from now on does not concern it, since its bucket
+// is filled with its own part only; sums heard later are a new series.
+void shared_quota::charge_silent_fleet(time_point now)
+{
+    if (fleet_.members == 0 || hears_fleet(now))
+    {
+        return;
+    }
+    double const span =
+        std::chrono::duration<double>(options_.silence_timeout).count();
+    double const vms = static_cast<double>(
+        std::max<std::size_t>({fleet_.members, listed_vms_, 1}));
+    for (auto& [organisation, b] : buckets_)
+    {
+        fill(now, b);
+        b.level -= fleet_.rates[organisation] * span;
+        b.level = b.level > 0 ? b.level / vms : b.level;
+    }
+    fleet_ = fleet_row{};
+}
+
 quota_report shared_quota::report(time_point now, std::string vm,
                                   std::uint64_t incarnation)
 {
     charge_silent_peers(now);
+    charge_silent_fleet(now);
+    own_key_ = quota_member_key(vm, incarnation);
+    if (sequence_ == 0)
+    {
+        random_.seed(static_cast<std::uint32_t>(own_key_)); // unlike others
+    }
     quota_report result{std::move(vm), incarnation, ++sequence_, {}};
+    own_report& kept = own_reports_.emplace_back();
+    kept.sequence = sequence_;
+    if (own_reports_.size() > kept_reports)
+    {
+        own_reports_.pop_front();
+    }
     for (auto& [organisation, b] : buckets_)
     {
         fill(now, b);
         b.unreported = 0;
-        b.reported_level = b.level - unheard(now, organisation);
+        double const level = b.level - unheard(now, organisation);
+        double const vms =
+            std::max<double>(2, static_cast<double>(fleet_.members));
+        update_admitted_share(b, level,
+                              fleet_.rates[organisation] * vms / (vms - 1));
+        b.reported_level = level;
         if (b.quota.rate_per_second > 0)
         {
             result.spent.push_back({organisation, b.spent});
+            kept.spent[organisation] = b.spent;
         }
     }
     return result;
@@ -209,6 +323,7 @@
 {
     auto const [place, first_heard] = peers_.try_emplace(peer.vm);
     peer_row& known = place->second;
+    heard_any_ = true;
     auto const version = std::pair(peer.incarnation, peer.sequence);
     if (!first_heard && version <= std::pair(known.incarnation, known.sequence))
     {
@@ -242,4 +357,80 @@
     known.heard_at = now;
 }
 
+// Subtracts what this VM itself admitted from the totals of a sum. Returns the
+// version under which the rest is merged, or nothing if the own report that it
+// includes is no longer known.
+std::optional<relay_version>
+shared_quota::subtract_own(quota_sum const& sum,
+                           std::vector<organisation_spent>& totals) const
+{
+    auto const included =
+        std::ranges::find(sum.included, own_key_, &included_report::member);
+    if (included == sum.included.end())
+    {
+        return relay_version{sum.relay, sum.incarnation, sum.sequence};
+    }
+    auto const report = std::ranges::find(own_reports_, included->sequence,
+                                          &own_report::sequence);
+    if (report == own_reports_.end())
+    {
+        return std::nullopt;
+    }
+    for (organisation_spent& row : totals)
+    {
+        auto const own = report->spent.find(row.organisation);
+        row.units -= own == report->spent.end() ? 0 : own->second;
+    }
+    // A sum that begins to include this VM is another series of totals: the
+    // part before the first included report was never in it.
+    return relay_version{fmt::format("{}/{}", sum.relay, included->first),
+                         sum.incarnation, sum.sequence};
+}
+
+void shared_quota::merge(time_point now, quota_sum const& sum)
+{
+    std::vector<organisation_spent> totals = sum.spent;
+    auto const version = subtract_own(sum, totals);
+    if (!version)
+    {
+        return;
+    }
+    charge_silent_fleet(now);
+    for (organisation_spent const& grown : fleet_.sums.merge(*version, totals))
+    {
+        fleet_.recent[grown.organisation] += grown.units;
+        auto const own = buckets_.find(grown.organisation);
+        if (own != buckets_.end())
+        {
+            fill(now, own->second);
+            own->second.level -= grown.units;
+        }
+    }
+    heard_any_ = true;
+    has_relays_ = true;
+    fleet_.members = std::max(sum.members, 1u);
+    fleet_.heard_at = now;
+    update_fleet_rates(now);
+}
+
+void shared_quota::update_fleet_rates(time_point now)
+{
+    duration const span = now - fleet_.rates_at;
+    if (span < rate_interval)
+    {
+        return;
+    }
+    // After a silence the rates are unknown, not low.
+    bool const continues = span <= options_.silence_timeout;
+    for (auto const& [organisation, b] : buckets_)
+    {
+        double& rate = fleet_.rates[organisation];
+        double const sample = fleet_.recent[organisation] /
+                              std::chrono::duration<double>(span).count();
+        rate += continues ? rate_gain * (sample - rate) : 0;
+    }
+    fleet_.recent.clear();
+    fleet_.rates_at = now;
+}
+
 } // namespace amarantharch
--- a/src/core/shared_reading.hpp
+++ b/src/core/shared_reading.hpp
@@ -9,6 +9,8 @@
 // fresh reads by itself (see keyed_follower), so a lost message or reader only
 // costs time.
 //
+// The readers are also the relays of the quotas' usage (see quota_relay).
+//
 // Cost: a reader sends a message to each member of its cell, a few times a
 // second; the number of reads grows with the number of cells.
 #ifndef AMARANTHARCH_CORE_SHARED_READING_HPP
@@ -89,6 +91,23 @@
     // The other VMs in the cells that this VM reads for.
     std::vector<std::string> recipients(membership const& members) const;
 
+    // The cell of this VM, named so that cells of another division of the fleet
+    // have other names.
+    std::string own_cell(membership const& members) const;
+
+    // The cells that this VM reads for.
+    std::vector<std::string> cells_read(membership const& members) const;
+
+    // The VMs of `cell` other than this one.
+    std::vector<std::string> members_of(membership const& members,
+                                        std::string const& cell) const;
+
+    // The readers of this VM's cell other than this VM.
+    std::vector<std::string> own_readers(membership const& members) const;
+
+    // The readers of all cells other than this VM.
+    std::vector<std::string> other_readers(membership const& members) const;
+
     // Splits `report` into parts that fit into one message each; the first part
     // has the states.
     std::vector<reading_report> split(reading_report const& report) const;
@@ -96,6 +115,9 @@
 private:
     std::size_t cell_count(membership const& members) const;
     static std::size_t cell_of(std::string const& vm, std::size_t cells);
+    static std::string cell_name(std::size_t cell, std::size_t cells);
+    std::vector<std::string> readers_of(membership const& members,
+                                        std::size_t cell) const;
     bool is_reader_of(membership const& members, std::size_t cell) const;
 
     std::string vm_;
