An organisation below its quota is admitted whole again as soon as its bucket is full

Change: it grows by half a report while the bucket is nearly full. Test: gives_what_is_asked_soon_after_an_excess.

--- a/src/core/quota_relay_test.cpp
+++ b/src/core/quota_relay_test.cpp
@@ -221,6 +221,19 @@
     BOOST_TEST(worst_window(steps) <= allowed_in_window);
 }
 
+// A short excess must not cost an organisation that then stays below its limit.
+BOOST_AUTO_TEST_CASE(gives_what_is_asked_soon_after_an_excess)
+{
+    fleet all(195, 0.55 * rate);
+    all.run(100);
+    all.demand = 4 * rate;
+    all.run(30);
+    all.demand = 0.55 * rate;
+    all.run(60);
+    double const asked = 0.55 * rate * 20;
+    BOOST_TEST(sum_from(all.run(200), 0) >= 0.97 * asked);
+}
+
 BOOST_AUTO_TEST_SUITE(with_two_relays_in_each_cell)
 
 BOOST_AUTO_TEST_CASE(holds_and_gives_as_much_when_one_of_them_dies)
--- a/src/core/shared_quota.cpp
+++ b/src/core/shared_quota.cpp
@@ -129,6 +129,12 @@
     {
         return;
     }
+    if (level >= capacity * options_.high_level)
+    {
+        b.admitted_share =
+            std::min(1.0, b.admitted_share * options_.share_recovery);
+        return;
+    }
     // Above the middle the level shows that the quota is not used up.
     double const spare = (level - capacity / 2) / capacity;
     double const wanted =
--- a/src/core/shared_quota.hpp
+++ b/src/core/shared_quota.hpp
@@ -76,6 +76,10 @@
     // Through relays: a bucket below this share of a full one limits the share
     // of the requests that are admitted.
     double low_level = 0.25;
+    // Above this one the share grows by `share_recovery` at each report: what
+    // does not fit into a bucket is lost to its organisation.
+    double high_level = 0.9;
+    double share_recovery = 1.5;
     // Exponent by which the admitted share follows the ratio of the quota's
     // rate to the admitted one, at each report.
     double share_gain = 0.05;
