The admitted share is limited only once an organisation's bucket is empty

Ruled out: counting twice in the relays (the level follows the truth with 24 and with 195 VMs, trial with the fleet of quota_relay_test). Change: the limit begins at an empty bucket.

--- a/src/core/shared_quota.cpp
+++ b/src/core/shared_quota.cpp
@@ -124,8 +124,7 @@
 {
     double const capacity = bucket_capacity(b.quota);
     bool const unlimited = b.admitted_share >= 1;
-    if (admitted_rate <= 0 ||
-        (unlimited && level >= capacity * options_.low_level))
+    if (admitted_rate <= 0 || (unlimited && level >= 0))
     {
         return;
     }
--- a/src/core/shared_quota.hpp
+++ b/src/core/shared_quota.hpp
@@ -22,7 +22,7 @@
 // reports, a VM admits at most its even part of what the bucket held, times
 // `skew`. Where relays sum the reports up, the others learn of it later, and an
 // even part of a large fleet is less than one request. There, every VM admits
-// the same share of the requests by chance once the bucket runs low: what the
+// the same share of the requests by chance once the bucket is empty: what the
 // quota allows of the demand, by the rate that the fleet admits.
 //
 // Error: at most what the peers admit above their estimated rate between two of
@@ -73,8 +73,9 @@
     // Factor by which a VM may exceed its even part between two reports, since
     // callers are spread unevenly over the VMs.
     double skew = 2;
-    // Through relays: a bucket below this share of a full one limits the share
-    // of the requests that are admitted.
+    // Through relays: the share of the requests that is admitted is limited
+    // once a bucket is empty, and falls further while the bucket is below this
+    // level.
     double low_level = 0.25;
     // Above this one the share grows by `share_recovery` at each report: what
     // does not fit into a bucket is lost to its organisation.
