A relay counts a cell once of which several relays send sums

Hubs send their cell's sum to all other hubs, so the two hubs of one cell added each other's sum to their own; and a VM that is a hub of another cell counted itself twice. Change: a sum of a cell whose VMs report to this relay too is left out, and taken up as a new series once they no longer do.

--- a/src/core/peer_exchange.cpp
+++ b/src/core/peer_exchange.cpp
@@ -226,8 +226,12 @@
         update.loads.push_back({upstream, report.running, report.waiting,
                                 (now - report.measured_at).count()});
     }
-    quota_relay_.add(now, update.cell, update.relayed_quotas.front());
     send(sharing_.own_readers(members), update);
+    std::vector<std::string> const cells = sharing_.cells_read(members);
+    if (std::ranges::find(cells, update.cell) != cells.end())
+    {
+        quota_relay_.add(now, update.cell, update.relayed_quotas.front());
+    }
 }
 
 // The VM of a claim that is not out of date. What a hub has heard from hubs of
--- a/src/core/quota_relay.cpp
+++ b/src/core/quota_relay.cpp
@@ -93,6 +93,13 @@
 void quota_relay::add(time_point now, quota_sum const& sum)
 {
     other_cell_row& other = other_cells_[sum.cell];
+    auto const own = cells_.find(sum.cell);
+    if (own != cells_.end() && count_heard(now, own->second) > 0)
+    {
+        other.sums.forget_relays();
+        other.members = 0;
+        return;
+    }
     other.sums.merge({sum.relay, sum.incarnation, sum.sequence}, sum.spent);
     other.members = sum.members;
     other.heard_at = now;
@@ -166,7 +173,7 @@
     {
         add_to(totals, row.sums.totals());
         bool const recent = now - row.heard_at <= options_.silence_timeout;
-        sum.members += recent && !cells_.contains(name) ? row.members : 0;
+        sum.members += recent ? row.members : 0;
     }
     sum.spent = rows_of(totals);
     for (auto const& [vm, member] : cells_[cell].members)
--- a/src/core/quota_relay.hpp
+++ b/src/core/quota_relay.hpp
@@ -98,7 +98,8 @@
     void add(time_point now, std::string const& cell,
              quota_report const& report);
 
-    // A sum that a relay of another cell has made of it.
+    // A sum that another relay has made of a cell. Of no use while the VMs of
+    // that cell report to this VM too.
     void add(time_point now, quota_sum const& sum);
 
     // The sum of the VMs of `cell`, for the relays of other cells.
--- a/src/core/quota_relay_test.cpp
+++ b/src/core/quota_relay_test.cpp
@@ -135,7 +135,7 @@
         auto const all = relays[r].fleet_sum(now, cell_of(r));
         for (std::size_t other = 0; other < relay_count; ++other)
         {
-            if (cell_of(other) != cell_of(r))
+            if (other != r)
             {
                 messages.push_back([=, this] { relays[other].add(now, cell); });
             }
@@ -299,6 +299,56 @@
     }
 }
 
+// The relays of one cell hear each other's sums of it as well.
+BOOST_AUTO_TEST_CASE(counts_a_cell_once_of_which_several_relays_send_sums)
+{
+    quota_relay a({"a", 1});
+    quota_relay b({"b", 1});
+    for (std::uint64_t i = 1; i <= 10; ++i)
+    {
+        time_point const now = start + milliseconds(300) * i;
+        quota_report const report{
+            "vm", 1, i, {{heavy, 100.0 * static_cast<double>(i)}}};
+        a.add(now, "0/1", report);
+        b.add(now, "0/1", report);
+        b.add(now, a.cell_sum(now, "0/1"));
+        quota_sum const sum = b.fleet_sum(now, "0/1");
+        BOOST_TEST(sum.spent.front().units == 100.0 * static_cast<double>(i));
+        BOOST_TEST(sum.members == 1u);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(goes_on_with_the_sums_of_others_when_it_is_a_relay_no_more)
+{
+    quota_relay a({"a", 1});
+    quota_relay b({"b", 1});
+    time_point now = start;
+    auto const report = [&](quota_relay& relay, std::uint64_t i)
+    {
+        relay.add(now, "0/1",
+                  {"vm", 1, i, {{heavy, 100.0 * static_cast<double>(i)}}});
+    };
+    for (std::uint64_t i = 1; i <= 10; ++i)
+    {
+        now += milliseconds(300);
+        report(a, i);
+        if (i <= 3)
+        {
+            report(b, i);
+        }
+        b.add(now, a.cell_sum(now, "0/1"));
+    }
+    double const known = b.fleet_sum(now, "0/1").spent.front().units;
+    BOOST_TEST(known <= 1'000);
+    for (std::uint64_t i = 11; i <= 20; ++i)
+    {
+        now += milliseconds(300);
+        report(a, i);
+        b.add(now, a.cell_sum(now, "0/1"));
+    }
+    BOOST_TEST(b.fleet_sum(now, "0/1").spent.front().units == known + 1'000);
+}
+
 BOOST_AUTO_TEST_CASE(charges_a_vm_that_falls_silent_and_corrects_it)
 {
     quota_relay relay({"relay", 1});
--- a/src/core/relayed_sums.hpp
+++ b/src/core/relayed_sums.hpp
@@ -63,6 +63,12 @@
         totals_[organisation] += units;
     }
 
+    // Takes every relay as first heard from now on; the totals stay.
+    void forget_relays()
+    {
+        relays_.clear();
+    }
+
     std::map<std::string, double> const& totals() const
     {
         return totals_;
