--- a/src/core/membership.hpp
+++ b/src/core/membership.hpp
@@ -37,6 +37,7 @@
 #include <random>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace amarantharch
@@ -211,13 +212,9 @@
     }
 
 private:
-    // Orders VMs for a purpose, the greatest first.
-    struct selection_rank
-    {
-        std::uint32_t millicores;
-        std::uint64_t hash;
-        auto operator<=>(selection_rank const&) const = default;
-    };
+    // Orders VMs for a purpose, the greatest first: by millicores, then by the
+    // rendezvous hash.
+    using selection_rank = std::pair<std::uint32_t, std::uint64_t>;
 
     struct probe
     {
--- a/src/core/quota_relay.cpp
+++ b/src/core/quota_relay.cpp
@@ -26,6 +26,7 @@
 rows_of(std::map<std::string, double> const& totals)
 {
     std::vector<organisation_spent> rows;
+    rows.reserve(totals.size());
     for (auto const& [organisation, units] : totals)
     {
         rows.push_back({organisation, units});
--- a/src/core/quota_relay_test.cpp
+++ b/src/core/quota_relay_test.cpp
@@ -115,7 +115,7 @@
             {
                 if (!is_cut(i) && cell_of(r) == cell_of(i) && !dead.contains(r))
                 {
-                    messages.push_back(
+                    messages.emplace_back(
                         [=, this] { relays[r].add(now, cell_of(r), report); });
                 }
             }
@@ -137,14 +137,15 @@
         {
             if (other != r)
             {
-                messages.push_back([=, this] { relays[other].add(now, cell); });
+                messages.emplace_back([=, this]
+                                      { relays[other].add(now, cell); });
             }
         }
         for (std::size_t i = 0; i < vms.size(); ++i)
         {
             if (!is_cut(i) && cell_of(i) == cell_of(r))
             {
-                messages.push_back([=, this] { vms[i].merge(now, all); });
+                messages.emplace_back([=, this] { vms[i].merge(now, all); });
             }
         }
     }
