Recognise a store that comes back from an older copy

Cause: offsets go back and are given out again; the follower held older records with greater offsets over newer ones for good, and the duty log, whose end lay beyond the store's, neither read nor claimed any more, or could get a fence a second time. Ruled out: telling it by an end that falls: the log may have grown past it.

--- a/src/core/duty_log.cpp
+++ b/src/core/duty_log.cpp
@@ -17,6 +17,18 @@
 constexpr std::size_t repeated_windows = 2;
 constexpr std::size_t remembered_windows = 16;
 
+// Fences have the era above this many bits of the offset; the platform's
+// numbers are exact up to 2^53.
+constexpr unsigned fence_offset_bits = 32;
+
+// The first era of a log: nothing was lost before it.
+constexpr std::uint64_t first_era = 1;
+
+fence_number fence_of(std::uint64_t era, duty_offset claim)
+{
+    return era << fence_offset_bits | (claim + 1);
+}
+
 std::uint8_t kind_value(duty_record_kind kind)
 {
     return static_cast<std::uint8_t>(kind);
@@ -145,7 +157,8 @@
         time_point const end = usage.end_of(w);
         bool const due = now >= end + options_.report_delay &&
                          now < end + options_.report_due;
-        if (due && !reported_.contains(w))
+        bool const unknown = end + options_.report_delay <= unknown_before_;
+        if (due && !unknown && !reported_.contains(w))
         {
             return w;
         }
@@ -179,11 +192,37 @@
     }
 }
 
+void duty_log::on_era(time_point now, std::uint64_t era)
+{
+    if (era <= era_)
+    {
+        return;
+    }
+    bool const came_back = era_ > 0 || log_has_records_ || era > first_era;
+    era_ = era;
+    if (!came_back)
+    {
+        return;
+    }
+    unknown_before_ = now;
+    position_ = 0;
+    caught_up_ = false;
+    pending_append_.reset();
+    holder_.reset();
+    unsent_.clear();
+    last_stored_sent_at_.reset();
+    // A holder may have acted on a record that is gone.
+    log_has_records_ = true;
+    last_record_seen_at_ = now;
+}
+
 void duty_log::on_read_truncated(duty_offset first_retained)
 {
     request_outstanding_ = false;
     caught_up_ = false;
-    position_ = std::max(position_ + 1, first_retained);
+    // At the start of a log that came back nothing need be missing.
+    position_ = position_ == 0 ? first_retained
+                               : std::max(position_ + 1, first_retained);
 }
 
 void duty_log::on_read_failed(time_point now)
@@ -198,7 +237,8 @@
 {
     if (record.kind == kind_value(duty_record_kind::claim))
     {
-        holder_ = known_holder{record.vm, record.incarnation, offset + 1};
+        holder_ =
+            known_holder{record.vm, record.incarnation, fence_of(era_, offset)};
         unsent_.clear();
         last_stored_sent_at_.reset();
         if (holds())
--- a/src/core/duty_log.hpp
+++ b/src/core/duty_log.hpp
@@ -3,7 +3,8 @@
 //
 // A VM appends to the log conditionally: only at the end that it knows. A claim
 // record makes its writer the holder. The fence (fencing token) is the claim's
-// offset plus one, so it grows with each change of holder. The holder appends
+// offset plus one, so it grows with each change of holder; above it stands the
+// era of the log. The holder appends
 // a record before every action:
 //   - the record is stored only if nobody has claimed in between, since the
 //     end of the log would have moved;
@@ -19,6 +20,15 @@
 // Usage reports are recorded before they are sent, and a new holder sends the
 // recorded ones again unchanged: no window is reported with two counts.
 //
+// The log may come back from an older copy: its era rises, the last records are
+// gone and their offsets are given out again. Then every VM reads the log anew
+// and waits for takeover_timeout before it claims. Fences stay unique and
+// monotone, since within an era an offset has one record, and a later era is
+// greater than all fences of an earlier one. What a VM knows as reported stays
+// known. A window that may have been reported in a record that is gone, and
+// that this VM does not know of, is left out: a missing report is better than
+// two different ones.
+//
 // Cost: the holder makes one append for each report or order, each VM that
 // watches one read per poll_interval; other VMs make no calls.
 #ifndef AMARANTHARCH_CORE_DUTY_LOG_HPP
@@ -108,6 +118,7 @@
     duty_offset from = 0; // of the first record
     duty_offset end = 0;
     std::vector<std::string> records;
+    std::uint64_t era = 0; // of the log; 0: not known
 };
 
 class duty_log
@@ -125,6 +136,8 @@
     void on_read(time_point now, duty_batch const& batch);
     // Records before `first_retained` are deleted.
     void on_read_truncated(duty_offset first_retained);
+    // An answer of the log told its era; to be called before what it answers.
+    void on_era(time_point now, std::uint64_t era);
     void on_read_failed(time_point now);
     // FailedPrecondition: not stored, since the log has another end. After any
     // other error the record may have been stored or may still be.
@@ -170,6 +183,10 @@
     void requeue_recent_reports(time_point now);
 
     duty_log_options options_;
+    std::uint64_t era_ = 0;
+    // Windows due before this time may have been reported in records that the
+    // log has lost.
+    time_point unknown_before_{};
     bool request_outstanding_ = false;
     bool caught_up_ = false; // position_ is the last known end of the log
     time_point due_{};
--- a/src/core/duty_log_test.cpp
+++ b/src/core/duty_log_test.cpp
@@ -3,6 +3,9 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <map>
+#include <memory>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -35,7 +38,15 @@
     std::vector<std::string> records;
     std::vector<action> accepted;
     fence_number highest = 0;
+    std::uint64_t era = 1;
     time_point now = start;
+
+    // The log comes back without its last `count` records.
+    void lose(std::size_t count)
+    {
+        records.resize(records.size() - std::min(count, records.size()));
+        ++era;
+    }
 };
 
 struct vm
@@ -55,6 +66,11 @@
         {
             return;
         }
+        // Each VM counts differently, so that reports by two of them differ.
+        if (++steps % (1 + name_.front() % 5) == 0)
+        {
+            usage.on_request_started(environment_.now, "organisation");
+        }
         log->tick(environment_.now, true, false, usage,
                   [this](duty_request const& what)
                   { std::visit([this](auto const& r) { answer(r); }, what); });
@@ -62,7 +78,13 @@
 
     void answer(read_duty_log const& what)
     {
-        duty_batch batch{what.from, environment_.records.size(), {}};
+        log->on_era(environment_.now, environment_.era);
+        if (what.from > environment_.records.size())
+        {
+            log->on_read_truncated(0);
+            return;
+        }
+        duty_batch batch{what.from, environment_.records.size(), {}, 0};
         batch.records.assign(environment_.records.begin() +
                                  static_cast<std::ptrdiff_t>(what.from),
                              environment_.records.end());
@@ -71,6 +93,7 @@
 
     void answer(append_duty_record const& what)
     {
+        log->on_era(environment_.now, environment_.era);
         if (what.at != environment_.records.size())
         {
             log->on_append(environment_.now,
@@ -105,6 +128,7 @@
     environment& environment_;
     usage_windows usage{window};
     std::unique_ptr<duty_log> log;
+    int steps = 0;
     bool stopped = false;
     bool lose_next_answer = false;
 };
@@ -242,6 +266,44 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// Any number of records is lost at any moment, twice, and the holder may freeze
+// or stop meanwhile.
+BOOST_AUTO_TEST_CASE(keeps_its_promises_when_the_log_loses_its_last_records)
+{
+    for (unsigned seed = 0; seed < 2'000; ++seed)
+    {
+        std::mt19937 random(seed);
+        fleet all(3);
+        all.run(seconds(11) + milliseconds(random() % 10'000));
+        for (int loss = 0; loss < 2; ++loss)
+        {
+            vm& first = *all.vms[random() % all.vms.size()];
+            first.stopped = random() % 2 == 0;
+            first.lose_next_answer = random() % 4 == 0;
+            all.run(milliseconds(random() % 3'000));
+            all.shared.lose(random() % 6);
+            all.run(milliseconds(random() % 9'000));
+            first.stopped = false;
+            if (random() % 3 == 0)
+            {
+                all.vms[random() % all.vms.size()] =
+                    std::make_unique<vm>(all.shared, "new");
+            }
+            all.run(seconds(2));
+        }
+        std::size_t const before = windows_reported(all.shared.accepted);
+        all.run(seconds(30));
+        BOOST_TEST(windows_reported(all.shared.accepted) >= before + 4, seed);
+        BOOST_TEST(!alternates_within(all.shared.accepted, seconds(3)), seed);
+        std::map<fence_number, std::string> holders;
+        for (action const& a : all.shared.accepted)
+        {
+            auto const [place, added] = holders.emplace(a.fence, a.vm);
+            BOOST_TEST((added || place->second == a.vm), seed);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(forgets_a_fence_that_was_refused)
 {
     fleet all(1);
--- a/src/core/event.hpp
+++ b/src/core/event.hpp
@@ -154,6 +154,7 @@
 struct duty_log_gone
 {
     duty_offset first_retained = 0;
+    std::uint64_t era = 0; // of the log
 };
 
 struct duty_log_failed
@@ -163,6 +164,7 @@
 struct duty_record_appended
 {
     absl::StatusOr<duty_offset> stored;
+    std::uint64_t era = 0; // of the log
 };
 
 struct usage_reported
--- a/src/core/fleet_duties.cpp
+++ b/src/core/fleet_duties.cpp
@@ -66,12 +66,14 @@
 
 void fleet_duties::handle(time_point now, duty_log_read const& result)
 {
+    log_.on_era(now, result.batch.era);
     log_.on_read(now, result.batch);
     record_holder_change();
 }
 
-void fleet_duties::handle(time_point, duty_log_gone const& result)
+void fleet_duties::handle(time_point now, duty_log_gone const& result)
 {
+    log_.on_era(now, result.era);
     log_.on_read_truncated(result.first_retained);
 }
 
@@ -82,6 +84,7 @@
 
 void fleet_duties::handle(time_point now, duty_record_appended const& result)
 {
+    log_.on_era(now, result.era);
     log_.on_append(now, result.stored);
     record_holder_change();
 }
--- a/src/core/keyed_follower.cpp
+++ b/src/core/keyed_follower.cpp
@@ -35,8 +35,13 @@
 }
 
 void keyed_follower::on_peer_report(time_point now, duration age,
-                                    std::uint64_t observed, bool behind)
+                                    std::uint64_t observed, bool behind,
+                                    std::uint64_t era)
 {
+    if (!is_of_present_era(era))
+    {
+        return;
+    }
     if (now - age + options_.peer_report_skew < peer_read_at_)
     {
         return;
@@ -55,8 +60,20 @@
     behind_since_ = behind_since_.value_or(now);
 }
 
+// Whether what a peer says is of the era known here. A later one is not taken
+// over from peers but read.
+bool keyed_follower::is_of_present_era(std::uint64_t era)
+{
+    listing_ = listing_ || era > era_;
+    return era == era_;
+}
+
 void keyed_follower::on_peer_record(keyed_record const& record)
 {
+    if (!is_of_present_era(record.era))
+    {
+        return;
+    }
     auto const last = offsets_.find(record.key);
     bool const already_seen =
         last != offsets_.end() && record.offset <= last->second;
@@ -106,9 +123,45 @@
     }
 }
 
+// Handles the era of an answer. Returns false if the answer is of no use: it
+// was given before the log came back, or it is the first one after that and not
+// the first page of a listing.
+bool keyed_follower::enter_era(time_point now, std::uint64_t era)
+{
+    if (era == era_ || era == 0)
+    {
+        return true;
+    }
+    if (era < era_)
+    {
+        next_read_at_ = now;
+        return false;
+    }
+    bool const is_first_page = listing_ && after_key_.empty() && !listed_end_;
+    era_ = era;
+    position_ = 0;
+    offsets_.clear();
+    removals_held_until_ = now + options_.removal_grace;
+    start_listing(now);
+    return is_first_page;
+}
+
+void keyed_follower::start_listing(time_point now)
+{
+    listing_ = true;
+    after_key_.clear();
+    listed_keys_.clear();
+    listed_end_.reset();
+    next_read_at_ = now;
+}
+
 void keyed_follower::on_records(time_point now, keyed_batch const& batch)
 {
     note_success(now);
+    if (!enter_era(now, batch.era))
+    {
+        return;
+    }
     for (keyed_record const& record : batch.records)
     {
         if (record.offset < position_)
@@ -123,6 +176,10 @@
 void keyed_follower::on_page(time_point now, keyed_batch const& page)
 {
     note_success(now);
+    if (!enter_era(now, page.era))
+    {
+        return;
+    }
     if (!listed_end_)
     {
         listed_end_ = page.end;
@@ -163,11 +220,7 @@
 void keyed_follower::on_trimmed(time_point now)
 {
     note_success(now);
-    listing_ = true;
-    after_key_.clear();
-    listed_keys_.clear();
-    listed_end_.reset();
-    next_read_at_ = now;
+    start_listing(now);
 }
 
 void keyed_follower::on_failure(time_point now)
--- a/src/core/keyed_follower.hpp
+++ b/src/core/keyed_follower.hpp
@@ -16,6 +16,12 @@
 // `own_read_interval` has passed; it applies the records that peers forward.
 // For each key the record with the greatest offset wins, whatever its source.
 //
+// The log may come back from an older copy of itself: its era rises, records of
+// the last seconds are gone, and their offsets are given out again. Offsets of
+// different eras cannot be compared, so a new era voids all known offsets. The
+// follower lists the keys again; a key that is missing is held back like after
+// an outage, since its writer will write it again.
+//
 //     if (auto read = follower.next(now)) send(*read);
 //     follower.on_records(now, batch); // or on_page, on_trimmed, on_failure
 //     for (keyed_change const& c : follower.take_changes(now)) apply(c);
@@ -81,6 +87,7 @@
     std::uint64_t offset = 0;
     std::string key;
     std::optional<std::string> value; // none: the key was removed
+    std::uint64_t era = 0; // of the log, in a record that a peer forwards
 };
 
 struct keyed_batch
@@ -88,6 +95,7 @@
     std::vector<keyed_record> records;
     std::uint64_t end = 0; // of the stream
     bool more = false;     // of a listing: there is another page
+    std::uint64_t era = 0; // of the log; 0: not told
 };
 
 struct keyed_change
@@ -113,12 +121,12 @@
     void on_trimmed(time_point now); // unread records are gone
     void on_failure(time_point now);
 
-    // A peer read the stream `age` ago and found it in state `observed` (its
-    // end offset or a digest). `behind`: this VM lacks some of those records.
-    // Ignored if another peer has read it later by more than
-    // `peer_report_skew`.
+    // A peer read the stream `age` ago, in `era`, and found it in state
+    // `observed` (its end offset or a digest). `behind`: this VM lacks some of
+    // those records. Ignored if another peer has read it later by more than
+    // `peer_report_skew`, or if the era is an earlier one.
     void on_peer_report(time_point now, duration age, std::uint64_t observed,
-                        bool behind);
+                        bool behind, std::uint64_t era = 0);
 
     // A record that a peer forwards.
     void on_peer_record(keyed_record const& record);
@@ -135,6 +143,12 @@
         return position_;
     }
 
+    // The log's greatest era seen in an answer.
+    std::uint64_t era() const
+    {
+        return era_;
+    }
+
     // The time of the log's last answer.
     time_point answered_at() const
     {
@@ -163,6 +177,9 @@
     bool advance_offset(std::string const& key, std::uint64_t offset);
     bool relies_on_peers(time_point now) const;
     void note_success(time_point now);
+    void start_listing(time_point now);
+    bool enter_era(time_point now, std::uint64_t era);
+    bool is_of_present_era(std::uint64_t era);
 
     keyed_follower_options options_;
     bool outstanding_ = false;
@@ -174,6 +191,7 @@
     std::string after_key_;
     std::optional<std::uint64_t> listed_end_; // the end before the first page
     std::set<std::string> listed_keys_;       // keys of the pages so far
+    std::uint64_t era_ = 0;
     std::uint64_t position_ = 0;
     time_point answered_at_{};
     time_point peer_read_at_{}; // a peer's latest known read of the stream
--- a/src/core/keyed_follower_test.cpp
+++ b/src/core/keyed_follower_test.cpp
@@ -18,12 +18,12 @@
 
 keyed_record put(std::uint64_t offset, std::string key, std::string value)
 {
-    return {offset, std::move(key), std::move(value)};
+    return {offset, std::move(key), std::move(value), 0};
 }
 
 keyed_record dropped(std::uint64_t offset, std::string key)
 {
-    return {offset, std::move(key), std::nullopt};
+    return {offset, std::move(key), std::nullopt, 0};
 }
 
 struct followed
@@ -322,6 +322,102 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// The log lost its last records; their offsets are given out again.
+BOOST_AUTO_TEST_SUITE(when_the_log_comes_back_from_an_older_copy)
+
+keyed_batch in_era(std::uint64_t era, std::vector<keyed_record> records,
+                   std::uint64_t end)
+{
+    return {std::move(records), end, false, era};
+}
+
+// A follower that has read up to offset 10 in era 1: a = new, b = 1.
+struct before_the_loss : followed
+{
+    before_the_loss()
+    {
+        BOOST_REQUIRE(follower.next(now).has_value());
+        follower.on_page(now,
+                         in_era(1, {put(3, "a", "old"), put(4, "b", "1")}, 5));
+        now += seconds(1);
+        BOOST_REQUIRE(follower.next(now).has_value());
+        follower.on_records(now, in_era(1, {put(9, "a", "new")}, 10));
+        apply();
+        now += seconds(1);
+    }
+
+    // An answer of the new era to a read, then the listing.
+    void come_back(std::vector<keyed_record> records, std::uint64_t end)
+    {
+        BOOST_REQUIRE(follower.next(now).has_value());
+        follower.on_records(now, in_era(2, {}, end));
+        auto const read = follower.next(now);
+        BOOST_REQUIRE((read && read->is_listing));
+        follower.on_page(now, in_era(2, std::move(records), end));
+        apply();
+    }
+};
+
+BOOST_AUTO_TEST_CASE(takes_records_with_lower_offsets_than_before)
+{
+    before_the_loss f;
+    f.come_back({put(3, "a", "old"), put(4, "b", "1")}, 5);
+    BOOST_TEST(f.follower.position() == 5u);
+    f.now += seconds(1);
+    BOOST_REQUIRE(f.follower.next(f.now).has_value());
+    f.follower.on_records(f.now, in_era(2, {put(5, "a", "again")}, 6));
+    f.apply();
+    BOOST_TEST(f.state["a"] == "again");
+}
+
+BOOST_AUTO_TEST_CASE(reads_on_though_the_answer_was_that_records_are_gone)
+{
+    before_the_loss f;
+    BOOST_REQUIRE(f.follower.next(f.now).has_value());
+    f.follower.on_trimmed(f.now);
+    auto const read = f.follower.next(f.now);
+    BOOST_REQUIRE((read && read->is_listing));
+    f.follower.on_page(f.now, in_era(2, {put(4, "a", "older")}, 5));
+    f.apply();
+    BOOST_TEST(f.state["a"] == "older");
+}
+
+BOOST_AUTO_TEST_CASE(removes_a_key_only_if_it_is_not_written_again)
+{
+    before_the_loss f;
+    f.come_back({put(3, "a", "old")}, 4);
+    BOOST_TEST(f.state.contains("b"));
+    f.now += milliseconds(2'300);
+    f.apply();
+    BOOST_TEST(!f.state.contains("b"));
+}
+
+BOOST_AUTO_TEST_CASE(heeds_no_late_answer_and_no_peer_of_the_time_before)
+{
+    before_the_loss f;
+    f.come_back({put(3, "a", "old"), put(4, "b", "1")}, 5);
+    f.follower.on_peer_record({9, "a", "new", 1});
+    f.follower.on_peer_report(f.now, milliseconds(0), 10, true, 1);
+    f.now += seconds(1);
+    BOOST_REQUIRE(f.follower.next(f.now).has_value());
+    f.follower.on_records(f.now, in_era(1, {put(9, "a", "new")}, 10));
+    f.apply();
+    BOOST_TEST(f.state["a"] == "old");
+    BOOST_TEST(f.follower.position() == 5u);
+}
+
+BOOST_AUTO_TEST_CASE(lists_at_once_when_a_peer_has_seen_the_new_era)
+{
+    before_the_loss f;
+    f.follower.on_peer_report(f.now, milliseconds(0), 10, false, 1);
+    BOOST_TEST(!f.follower.next(f.now).has_value());
+    f.follower.on_peer_record({5, "a", "again", 2});
+    auto const read = f.follower.next(f.now);
+    BOOST_TEST((read && read->is_listing));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace amarantharch
--- a/src/core/shared_reading.hpp
+++ b/src/core/shared_reading.hpp
@@ -46,7 +46,8 @@
     // renew earlier ones; else 0.
     std::uint64_t digest = 0;
     std::int64_t age_us = 0; // since the stream was last read
-    MSGPACK_DEFINE(stream, end, digest, age_us)
+    std::uint64_t era = 0;   // of the log
+    MSGPACK_DEFINE(stream, end, digest, age_us, era)
 };
 
 // A record that changed something.
@@ -57,7 +58,8 @@
     std::string key;
     bool present = true; // false: the key was removed
     std::string value;
-    MSGPACK_DEFINE(stream, offset, key, present, value)
+    std::uint64_t era = 0; // of the log
+    MSGPACK_DEFINE(stream, offset, key, present, value, era)
 };
 
 struct reading_report
