--- a/src/core/peer_exchange.cpp
+++ b/src/core/peer_exchange.cpp
@@ -67,7 +67,7 @@
     }
     if (options_.shares_reading)
     {
-        // The readers' records tell all VMs; one step by the finder suffices.
+        // Not forwarded: readers forward the directory's records to all VMs.
         requests.take_found_leaving();
     }
     for (upstream_load const& load : update->loads)
--- a/src/core/shared_quota.hpp
+++ b/src/core/shared_quota.hpp
@@ -73,18 +73,17 @@
     // Factor by which a VM may exceed its even part between two reports, since
     // callers are spread unevenly over the VMs.
     double skew = 2;
-    // Through relays: the share of the requests that is admitted is limited
-    // once a bucket is empty, and falls further while the bucket is below this
-    // level.
+    // Through relays: while the admitted share is limited, it is reduced in
+    // proportion to the level where a bucket is less full than this.
     double low_level = 0.25;
-    // Above this one the share grows by `share_recovery` at each report: what
-    // does not fit into a bucket is lost to its organisation.
+    // Where a bucket is fuller than this, the admitted share is multiplied by
+    // `share_recovery` at each report: units that do not fit are lost.
     double high_level = 0.9;
     double share_recovery = 1.5;
     // Exponent by which the admitted share follows the ratio of the quota's
     // rate to the admitted one, at each report.
     double share_gain = 0.05;
-    // Part by which a full bucket raises the rate that is aimed at.
+    // Change of the target rate per bucket capacity above half full.
     double level_gain = 0.8;
     double min_admitted_share = 0.02;
     // Initial level of a bucket, as a share of a full one.
