--- a/src/core/request_path.cpp
+++ b/src/core/request_path.cpp
@@ -223,6 +223,17 @@
     return std::nullopt;
 }
 
+// Refuses a request that the routing tables do not allow, or for which this VM
+// has no room.
+void request_path::refuse_unadmitted(request_id const& id, refusal const& why)
+{
+    add_timeline_entry("request_refused", id,
+                       fmt::format("verdict={} reason={} configuration={}",
+                                   name(why.run), why.reason,
+                                   tables_->version));
+    emit_(answer_refusal{id, why});
+}
+
 void request_path::handle(time_point now, call_received const& what)
 {
     event_time_ = now;
@@ -236,9 +247,9 @@
             : identify_organisation(*tables_, request.credential_digest);
     if (!organisation)
     {
-        emit_(answer_refusal{
+        refuse_unadmitted(
             request.id,
-            {401, verdict::not_run, "unknown_organisation", duration::zero()}});
+            {401, verdict::not_run, "unknown_organisation", duration::zero()});
         return;
     }
     if (options_.records_requests && request.target.starts_with(inquiry_prefix))
@@ -248,7 +259,7 @@
     }
     if (auto const why = refuse_early(request, *organisation, route))
     {
-        emit_(answer_refusal{request.id, *why});
+        refuse_unadmitted(request.id, *why);
         return;
     }
     row& r = rows_[request.id];
--- a/src/core/request_path.hpp
+++ b/src/core/request_path.hpp
@@ -295,6 +295,7 @@
                                         route_spec const* route) const;
     bool spend_quota(time_point now, row& r);
     static double units_of(row const& r, quota_spec const& quota);
+    void refuse_unadmitted(request_id const& id, refusal const& why);
     void answer_inquiry(time_point now, call const& request,
                         std::string const& organisation);
     void admit(time_point now, row& r);
--- a/src/core/site.hpp
+++ b/src/core/site.hpp
@@ -115,6 +115,8 @@
 struct routing_tables
 {
     bool known = true; // false until a configuration has been loaded
+    // Of the platform operator's configuration; increases. 0: none.
+    std::uint64_t version = 0;
     std::vector<route_spec> routes;
     std::vector<organisation_spec> organisations;
     std::vector<upstream_spec> upstreams;
