--- a/src/core/request_attempts.cpp
+++ b/src/core/request_attempts.cpp
@@ -39,6 +39,17 @@
     return unconnected ? retry_cause::not_connected : retry_cause::failed;
 }
 
+// The ids of a prompt's parts, in order; "-" for a request without a prompt.
+std::string format_parts(std::vector<prompt_part> const& prompt)
+{
+    std::string text;
+    for (prompt_part const& part : prompt)
+    {
+        text += fmt::format("{}{:x}", text.empty() ? "" : ",", part.id);
+    }
+    return text.empty() ? "-" : text;
+}
+
 } // namespace
 
 request_features request_path::features_of(row const& r) const
@@ -561,6 +572,12 @@
             in_flight_requests[attempt] = other.request_fingerprint;
         }
     }
+    add_timeline_entry(
+        "connection_lost", r.request.id,
+        fmt::format("upstream={} incarnation={} in_flight={} begun={} parts={}",
+                    upstream.profile.name, r.upstream_incarnation,
+                    in_flight_requests.size(), r.answer_begun,
+                    format_parts(r.request.metadata.prompt)));
     auto const crashed_requests = crash_detector_.record_lost_connection(
         now, r.upstream, r.attempt, in_flight_requests);
     if (crashed_requests && crashed_requests->size() >= options_.crash_quorum)
