A VM that cannot read the configuration gets it from a peer

Cause: readers tell their peers where the operator's stream stands and not what it holds, so the VM knew that it was behind and could only ask the store again. Class: a dependency shared by all VMs whose failure for one of them was not bridged by the others.

Versions only increase, so neither the source nor the order matters. The same cause elsewhere: a VM that starts after the store has come back from an older copy took the store's version; it now gets its peers'.

--- a/src/app/server.cpp
+++ b/src/app/server.cpp
@@ -564,6 +564,14 @@
     }
 }
 
+void server::carry_out(take_configuration const& what)
+{
+    if (link_)
+    {
+        link_->carry_out(what);
+    }
+}
+
 void server::carry_out(send_to_peer const& what)
 {
     member const* const to = node_.control().members().find(what.message.vm);
--- a/src/app/server.hpp
+++ b/src/app/server.hpp
@@ -93,6 +93,7 @@
     void carry_out(read_for_others const& what);
     void carry_out(read_upstream_load const& what);
     void carry_out(take_reading const& what);
+    void carry_out(take_configuration const& what);
     void carry_out(report_version_move const& what);
     void carry_out(record_timeline const& what);
     caller_row take_caller(request_id const& request);
--- a/src/core/command.hpp
+++ b/src/core/command.hpp
@@ -91,6 +91,13 @@
     reading_report report;
 };
 
+// Puts a configuration in force that a peer has passed on: the operator's
+// record as it was read from the platform.
+struct take_configuration
+{
+    std::string record;
+};
+
 // One entry of the timeline of events.
 struct record_timeline
 {
@@ -104,7 +111,8 @@
                  answer_end, answer_refusal, send_append, send_read,
                  send_to_peer, read_duty_log, append_duty_record, report_usage,
                  order_upstreams, report_version_move, read_for_others,
-                 take_reading, read_upstream_load, record_timeline>;
+                 take_reading, read_upstream_load, take_configuration,
+                 record_timeline>;
 
 using command_sink = std::function<void(command)>;
 
--- a/src/core/event.hpp
+++ b/src/core/event.hpp
@@ -104,6 +104,9 @@
 struct routing_tables_changed
 {
     std::shared_ptr<routing_tables const> tables;
+    // What the operator wrote, to be passed on to VMs that lack it; may be
+    // empty.
+    std::string record = {};
 };
 
 // An upstream's entry in the platform's directory.
--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -132,6 +132,7 @@
 void node::on(time_point now, routing_tables_changed const& what)
 {
     requests_.set_routing_tables(now, what.tables);
+    exchange_.set_configuration(what.tables->version, what.record);
 }
 
 void node::on(time_point now, stop_requested const& what)
--- a/src/core/peer_exchange.cpp
+++ b/src/core/peer_exchange.cpp
@@ -1,5 +1,7 @@
 #include "core/peer_exchange.hpp"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -48,6 +50,7 @@
     {
         requests.moves().apply(now, update->move_states);
     }
+    relay_configuration(now, message.vm, *update);
     merge_quotas(now, message, *update, requests);
     for (demand_report const& row : update->demand)
     {
@@ -138,6 +141,7 @@
     {
         update_reader_role(members);
     }
+    ask_for_configuration(now);
     if (is_reader_.value_or(false))
     {
         read_loads(now, requests.upstreams());
@@ -170,6 +174,48 @@
     }
 }
 
+void peer_exchange::relay_configuration(time_point now, std::string const& from,
+                                        peer_update const& update)
+{
+    configuration_.on_peer_version(now, from, update.configuration_version);
+    if (update.wants_configuration)
+    {
+        for (configuration_piece& piece :
+             configuration_.pieces_for(update.configuration_version))
+        {
+            peer_update answer;
+            answer.configuration_pieces.push_back(std::move(piece));
+            send({from}, std::move(answer));
+        }
+    }
+    for (configuration_piece const& piece : update.configuration_pieces)
+    {
+        if (auto record = configuration_.add_piece(piece))
+        {
+            emit_(record_timeline{"configuration_from_peer", "",
+                                  fmt::format("version={} own={} peer={}",
+                                              piece.version,
+                                              configuration_.version(), from)});
+            emit_(take_configuration{*std::move(record)});
+        }
+    }
+}
+
+void peer_exchange::ask_for_configuration(time_point now)
+{
+    auto const peer = configuration_.next_request(now);
+    if (!peer)
+    {
+        return;
+    }
+    emit_(record_timeline{
+        "configuration_behind", "",
+        fmt::format("own={} asked={}", configuration_.version(), *peer)});
+    peer_update request;
+    request.wants_configuration = true;
+    send({*peer}, std::move(request));
+}
+
 // Decides anew whether this VM reads the platform's streams on behalf of
 // others, and commands it on a change.
 void peer_exchange::update_reader_role(membership const& members)
@@ -437,8 +483,9 @@
 }
 
 void peer_exchange::send(std::vector<std::string> const& peers,
-                         peer_update const& update)
+                         peer_update update)
 {
+    update.configuration_version = configuration_.version();
     std::string const payload = encode(update);
     for (std::string const& vm : peers)
     {
--- a/src/core/peer_exchange.hpp
+++ b/src/core/peer_exchange.hpp
@@ -18,6 +18,7 @@
 #define AMARANTHARCH_CORE_PEER_EXCHANGE_HPP
 
 #include "core/command.hpp"
+#include "core/configuration_relay.hpp"
 #include "core/membership.hpp"
 #include "core/peer_update.hpp"
 #include "core/quota_relay.hpp"
@@ -93,6 +94,12 @@
     // it reads for.
     void send_readings(streams_read const& streams, membership const& members);
 
+    // The configuration that this VM has put in force, for peers that lack it.
+    void set_configuration(std::uint64_t version, std::string record)
+    {
+        configuration_.set_own(version, std::move(record));
+    }
+
     // Sends the updates that are due to live members.
     void tick(time_point now, membership const& members,
               request_path& requests);
@@ -112,6 +119,9 @@
     static std::vector<std::string> reachable_peers(membership const& members);
     std::size_t quota_fanout(std::size_t peers) const;
     void update_reader_role(membership const& members);
+    void relay_configuration(time_point now, std::string const& from,
+                             peer_update const& update);
+    void ask_for_configuration(time_point now);
     void read_loads(time_point now, upstream_table const& upstreams);
     void merge_quotas(time_point now, peer_message const& from,
                       peer_update const& update, request_path& requests);
@@ -129,7 +139,7 @@
     std::string recent_claim(time_point now, holder_claim const& claim) const;
     std::vector<std::string> peers_elsewhere_first(membership const& members,
                                                    std::size_t count) const;
-    void send(std::vector<std::string> const& peers, peer_update const& update);
+    void send(std::vector<std::string> const& peers, peer_update update);
 
     peer_exchange_options options_;
     command_sink emit_;
@@ -141,6 +151,7 @@
     std::optional<bool> is_reader_; // as last commanded; empty before
     load_sharing loads_;
     quota_relay quota_relay_;
+    configuration_relay configuration_;
     // The next peer in the rotation, for each kind of message.
     std::size_t next_urgent_peer_ = 0;
     std::size_t next_usage_peer_ = 0;
--- a/src/core/peer_update.hpp
+++ b/src/core/peer_update.hpp
@@ -8,6 +8,7 @@
 #define AMARANTHARCH_CORE_PEER_UPDATE_HPP
 
 #include "core/admission.hpp"
+#include "core/configuration_relay.hpp"
 #include "core/load_sharing.hpp"
 #include "core/quarantine.hpp"
 #include "core/service_demand.hpp"
@@ -66,10 +67,17 @@
     std::string cell;
     std::vector<quota_sum> quota_sums; // from a relay
     std::string duty_holder;           // from a relay: who claims the duties
+    // Of the operator's configuration: the version in force at the sender,
+    // whether it asks for the receiver's, and parts of its own.
+    std::uint64_t configuration_version = 0;
+    bool wants_configuration = false;
+    std::vector<configuration_piece> configuration_pieces;
     MSGPACK_DEFINE(usage, quarantined, leaving, handed_over, evidence,
                    quota_reports, request_counts, move_states, demand,
                    reading_reports, holds_duties, loads, leaving_upstreams,
-                   relayed_quotas, cell, quota_sums, duty_holder)
+                   relayed_quotas, cell, quota_sums, duty_holder,
+                   configuration_version, wants_configuration,
+                   configuration_pieces)
 };
 
 std::string encode(peer_update const& update);
--- a/src/core/session_text.cpp
+++ b/src/core/session_text.cpp
@@ -409,6 +409,10 @@
     {
         return fmt::format("read_load upstream={}", quoted_text(c.upstream));
     }
+    std::string operator()(take_configuration const& c) const
+    {
+        return fmt::format("take_configuration bytes={}", c.record.size());
+    }
     std::string operator()(take_reading const& c) const
     {
         return fmt::format("take_reading states={} records={}",
