A crash is recognised by a refused connection, however few requests it cut

Cause: on the users' platform a crash counted only if three requests of one VM were lost together, and a VM seldom has three at one of four plain servers. Class: evidence is asked of one observer that only several have together.

The quorum stays, since single connections are reset there without a crash. What decides below it is the connection after the loss: a VM makes one, and a refusal proves that the process is gone. A refused attempt of another request counts too. A crash is identified by the upstream's incarnation where it is known, so that all VMs mean the same one. Requests whose answers had begun are no suspects while another one had no answer.

--- a/src/app/platform_mode.cpp
+++ b/src/app/platform_mode.cpp
@@ -14,7 +14,8 @@
 // Answers other than streams are held until whole up to this size; those of
 // the users' plain services have 800 bytes.
 constexpr std::size_t held_answer_bytes = std::size_t{64} << 10;
-// Connections that a crash must cut together: answers are lost singly there.
+// Connections that a crash must cut together unless the upstream then refuses
+// new ones: answers are lost singly there.
 constexpr std::size_t crash_quorum = 3;
 // The engines' sheet gives 56.9 tokens; some work 1.3 times as long.
 constexpr double engine_prefill_tokens_per_ms = 50;
@@ -72,7 +73,7 @@
     options.api_dialect = &platform::wire_dialect();
     options.records_requests = false;
     options.held_answer_bytes = held_answer_bytes;
-    options.crash_quorum = crash_quorum;
+    options.crashes.quorum = crash_quorum;
     options.engine_prefill_tokens_per_ms = engine_prefill_tokens_per_ms;
     options.not_run_status = service_unavailable;
     options.quarantined_status = service_unavailable;
--- a/src/app/server.cpp
+++ b/src/app/server.cpp
@@ -37,6 +37,9 @@
 constexpr duration platform_usage_interval = std::chrono::milliseconds(300);
 // An attempt's connection; the upstreams are 3 ms away.
 constexpr duration platform_connect_timeout = std::chrono::milliseconds(300);
+// An upstream that does not answer a connection within this is not known to
+// have crashed.
+constexpr duration upstream_check_timeout = std::chrono::milliseconds(300);
 // The upstreams' connections are limited over all VMs.
 constexpr std::size_t platform_idle_connections = 16;
 
@@ -564,6 +567,15 @@
     }
 }
 
+void server::carry_out(check_upstream const& what)
+{
+    checks_.start(what.address, upstream_check_timeout,
+                  [this, upstream = what.upstream](connection_outcome outcome) {
+                      tell(upstream_checked{
+                          upstream, outcome == connection_outcome::refused});
+                  });
+}
+
 void server::carry_out(take_configuration const& what)
 {
     if (link_)
--- a/src/app/server.hpp
+++ b/src/app/server.hpp
@@ -13,6 +13,7 @@
 #include "app/settings.hpp"
 #include "app/timeline.hpp"
 #include "core/node.hpp"
+#include "net/connection_check.hpp"
 #include "net/datagram_transport.hpp"
 #include "net/engine_client.hpp"
 #include "net/http_client.hpp"
@@ -94,6 +95,7 @@
     void carry_out(read_upstream_load const& what);
     void carry_out(take_reading const& what);
     void carry_out(take_configuration const& what);
+    void carry_out(check_upstream const& what);
     void carry_out(report_version_move const& what);
     void carry_out(record_timeline const& what);
     caller_row take_caller(request_id const& request);
@@ -119,6 +121,7 @@
     node node_;
     http_server callers_;
     http_client upstreams_;
+    connection_check checks_;
     admin_server admin_;
     metrics metrics_;
     timeline timeline_;
--- a/src/core/command.hpp
+++ b/src/core/command.hpp
@@ -85,6 +85,14 @@
     std::string address; // ip:port
 };
 
+// Makes a connection to an upstream, to learn whether its address refuses it.
+// An upstream_checked event follows.
+struct check_upstream
+{
+    std::string upstream;
+    std::string address; // ip:port
+};
+
 // Applies what a peer read from the platform's streams on behalf of this VM.
 struct take_reading
 {
@@ -111,8 +119,8 @@
                  answer_end, answer_refusal, send_append, send_read,
                  send_to_peer, read_duty_log, append_duty_record, report_usage,
                  order_upstreams, report_version_move, read_for_others,
-                 take_reading, read_upstream_load, take_configuration,
-                 record_timeline>;
+                 take_reading, read_upstream_load, check_upstream,
+                 take_configuration, record_timeline>;
 
 using command_sink = std::function<void(command)>;
 
--- a/src/core/crash_detector.cpp
+++ b/src/core/crash_detector.cpp
@@ -11,27 +11,45 @@
                                        attempts_in_flight const& in_flight)
 {
     auto found = groups_.find(upstream);
-    bool const starts_group = found == groups_.end() ||
-                              now - found->second.since > window_ ||
-                              !found->second.missing.contains(attempt);
+    bool const starts_group =
+        found == groups_.end() ||
+        now - found->second.since > options_.loss_window ||
+        !found->second.missing.contains(attempt);
     if (starts_group)
     {
-        group started{now, {}, {}};
-        for (auto const& [id, request_fingerprint] : in_flight)
+        group started;
+        started.since = now;
+        for (auto const& [id, row] : in_flight)
         {
             started.missing.insert(id);
-            started.fingerprints.insert(request_fingerprint);
+            (row.answer_begun ? started.begun : started.unanswered)
+                .insert(row.request_fingerprint);
         }
         found = groups_.insert_or_assign(upstream, std::move(started)).first;
     }
-    found->second.missing.erase(attempt);
-    if (!found->second.missing.empty())
-    {
-        return std::nullopt;
-    }
-    std::set<fingerprint> fingerprints = std::move(found->second.fingerprints);
-    groups_.erase(found);
-    return fingerprints;
+    group& lost = found->second;
+    lost.missing.erase(attempt);
+    bool const all_lost = lost.missing.empty() && !lost.survivor;
+    bool const enough =
+        lost.unanswered.size() + lost.begun.size() >= options_.quorum;
+    return all_lost && enough ? std::optional(conclude(found)) : std::nullopt;
+}
+
+bool crash_detector::needs_check(upstream_index upstream)
+{
+    auto const found = groups_.find(upstream);
+    return found != groups_.end() &&
+           !std::exchange(found->second.checked, true);
+}
+
+std::optional<std::set<fingerprint>>
+crash_detector::record_refused_connection(time_point now,
+                                          upstream_index upstream)
+{
+    auto const found = groups_.find(upstream);
+    bool const recent = found != groups_.end() &&
+                        now - found->second.since <= options_.refusal_window;
+    return recent ? std::optional(conclude(found)) : std::nullopt;
 }
 
 void crash_detector::record_ended_attempt(upstream_index upstream,
@@ -40,8 +58,17 @@
     auto const found = groups_.find(upstream);
     if (found != groups_.end() && found->second.missing.contains(attempt))
     {
-        groups_.erase(found);
+        found->second.survivor = true;
     }
 }
 
+std::set<fingerprint>
+crash_detector::conclude(std::map<upstream_index, group>::iterator crashed)
+{
+    group lost = std::move(crashed->second);
+    groups_.erase(crashed);
+    return lost.unanswered.empty() ? std::move(lost.begun)
+                                   : std::move(lost.unanswered);
+}
+
 } // namespace amarantharch
--- a/src/core/crash_detector.hpp
+++ b/src/core/crash_detector.hpp
@@ -1,9 +1,21 @@
 // Distinguishes the crash of an upstream from the loss of single connections.
 //
-// When a process dies, all its connections close at about the same time. The
-// first lost connection opens a group of all attempts then in flight at the
-// upstream. If every attempt of the group is lost within `window`, the upstream
-// has crashed with these requests in flight; otherwise nothing is concluded.
+// When a process dies, all its connections close at about the same time, and
+// until it is replaced its address refuses new ones. The first lost connection
+// opens a group of all attempts then in flight at the upstream. The upstream
+// has crashed with these requests in flight if
+//   - every attempt of the group, at least `quorum` of them, is lost within
+//     `loss_window`, or
+//   - a new connection is refused within `refusal_window` of the first loss.
+// The first rule needs no further connection; the second one decides where few
+// requests were in flight, as the loss of one connection proves nothing. Users
+// of this class make a new connection after each loss that opens a group (see
+// needs_check). Otherwise nothing is concluded.
+//
+// A request whose answer has begun is not suspected while another one at that
+// upstream has got no answer yet: what crashes an upstream does so when it is
+// run.
+//
 // Cost: O(attempts at the upstream) for each lost connection.
 #ifndef AMARANTHARCH_CORE_CRASH_DETECTOR_HPP
 #define AMARANTHARCH_CORE_CRASH_DETECTOR_HPP
@@ -13,6 +25,7 @@
 #include "core/time.hpp"
 #include "core/upstream_table.hpp"
 
+#include <cstddef>
 #include <map>
 #include <optional>
 #include <set>
@@ -20,37 +33,70 @@
 namespace amarantharch
 {
 
-// The attempts in flight at an upstream, with the fingerprints of their
-// requests.
-using attempts_in_flight = std::map<attempt_id, fingerprint>;
+struct crash_detector_options
+{
+    duration loss_window = std::chrono::milliseconds(200);
+    duration refusal_window = std::chrono::seconds(1);
+    std::size_t quorum = 1;
+};
+
+struct attempt_in_flight
+{
+    fingerprint request_fingerprint = 0;
+    bool answer_begun = false; // the caller has got a part of the answer
+};
+
+using attempts_in_flight = std::map<attempt_id, attempt_in_flight>;
 
 class crash_detector
 {
 public:
-    explicit crash_detector(duration window) : window_(window) {}
+    explicit crash_detector(crash_detector_options options) : options_(options)
+    {
+    }
 
     // Records that the connection of `attempt` to `upstream` was lost.
     // `in_flight` holds all attempts at the upstream, including `attempt`.
-    // Returns the fingerprints of the group if this was its last attempt, that
-    // is, if the upstream crashed.
+    // Returns the suspected requests if the upstream has crashed by the first
+    // rule.
     std::optional<std::set<fingerprint>>
     record_lost_connection(time_point now, upstream_index upstream,
                            attempt_id attempt,
                            attempts_in_flight const& in_flight);
 
+    // Whether a new connection to the upstream is to be made now, to learn if
+    // it refuses. True once for each group.
+    bool needs_check(upstream_index upstream);
+
+    // Records that the upstream refused a new connection. Returns the suspected
+    // requests if it has crashed by the second rule.
+    std::optional<std::set<fingerprint>>
+    record_refused_connection(time_point now, upstream_index upstream);
+
     // Records that `attempt` was answered or cancelled. Its group can no longer
-    // prove a crash and is dropped.
+    // prove a crash by the first rule.
     void record_ended_attempt(upstream_index upstream, attempt_id attempt);
 
+    // To be called when a row is removed or has a new incarnation.
+    void on_upstream_reset(upstream_index upstream)
+    {
+        groups_.erase(upstream);
+    }
+
 private:
     struct group
     {
         time_point since;
         std::set<attempt_id> missing; // attempts not lost yet
-        std::set<fingerprint> fingerprints;
+        std::set<fingerprint> unanswered;
+        std::set<fingerprint> begun;
+        bool survivor = false; // an attempt of the group was not lost
+        bool checked = false;
     };
 
-    duration window_;
+    std::set<fingerprint> conclude(std::map<upstream_index, group>::iterator);
+
+    crash_detector_options options_;
     std::map<upstream_index, group> groups_;
 };
 
--- a/src/core/event.hpp
+++ b/src/core/event.hpp
@@ -94,6 +94,13 @@
     upstream_notice notice;
 };
 
+// The outcome of a check_upstream command.
+struct upstream_checked
+{
+    std::string upstream;
+    bool refused = false; // the address refuses connections
+};
+
 // Any source reported that an upstream is about to shut down.
 struct upstream_leaving_seen
 {
@@ -193,11 +200,11 @@
 using event = std::variant<
     call_received, call_abandoned, upstream_head, upstream_piece, upstream_end,
     upstream_failed, ticked, log_result, peer_message_received, members_listed,
-    upstream_reported, upstream_noticed, upstream_leaving_seen,
-    routing_tables_changed, upstream_listed, upstream_unlisted, version_ordered,
-    version_move_ended, streams_read, duty_log_read, duty_log_gone,
-    duty_log_failed, duty_record_appended, usage_reported, order_answered,
-    stop_requested>;
+    upstream_reported, upstream_noticed, upstream_checked,
+    upstream_leaving_seen, routing_tables_changed, upstream_listed,
+    upstream_unlisted, version_ordered, version_move_ended, streams_read,
+    duty_log_read, duty_log_gone, duty_log_failed, duty_record_appended,
+    usage_reported, order_answered, stop_requested>;
 
 } // namespace amarantharch
 
--- a/src/core/request_attempts.cpp
+++ b/src/core/request_attempts.cpp
@@ -18,6 +18,7 @@
 constexpr int bad_gateway = 502;
 constexpr duration no_upstream_retry_after = std::chrono::seconds(1);
 constexpr std::string_view upstream_error = "upstream_error";
+constexpr std::string_view connect_failed = "connect_failed";
 // Time reserved for returning the answer to the caller.
 constexpr duration answer_return_time = std::chrono::milliseconds(5);
 // How long an upstream gets no requests after its address was found to belong
@@ -25,9 +26,8 @@
 constexpr duration moved_upstream_pause = std::chrono::seconds(2);
 // Interval at which a request without a usable upstream looks for one again.
 constexpr duration upstream_retry_interval = std::chrono::milliseconds(20);
-// Crashes are identified by upstream and time in units of this, so that all VMs
-// identify a crash alike: lost connections don't tell the upstream's
-// incarnation.
+// Where the incarnation of an upstream is not known, its crash is identified by
+// the time in units of this, so that all VMs identify it alike.
 constexpr duration crash_timestamp_resolution = std::chrono::milliseconds(500);
 
 // The cause of a retry after an attempt that failed with `reason`.
@@ -35,7 +35,7 @@
 {
     bool const unconnected =
         run == verdict::not_run &&
-        (reason == "connect_failed" || reason == "connect_timeout");
+        (reason == connect_failed || reason == "connect_timeout");
     return unconnected ? retry_cause::not_connected : retry_cause::failed;
 }
 
@@ -552,45 +552,88 @@
     refuse(now, r, status, reason, failure_retry_after);
 }
 
-// Checks whether a lost connection was caused by a crash of the upstream.
+// Looks for signs of a crash in a failed attempt: a connection that was lost,
+// or one that was refused.
 void request_path::detect_crash(time_point now, row const& r,
                                 std::string const& reason)
 {
-    bool const connection_lost =
-        reason == "connection_lost" || reason == "answer_cut";
     upstream_row const& upstream = upstreams_.row(r.upstream);
-    if (!connection_lost || upstream.leaving || !upstream.present)
+    if (upstream.leaving || !upstream.present)
     {
         return;
     }
-    attempts_in_flight in_flight_requests;
+    if (reason == connect_failed)
+    {
+        if (auto const suspects =
+                crash_detector_.record_refused_connection(now, r.upstream))
+        {
+            record_crash(now, r.upstream, *suspects);
+        }
+        return;
+    }
+    if (reason != "connection_lost" && reason != "answer_cut")
+    {
+        return;
+    }
+    attempts_in_flight in_flight;
     for (auto const& [attempt, request] : attempts_)
     {
         row const& other = rows_.at(request);
         if (other.upstream == r.upstream)
         {
-            in_flight_requests[attempt] = other.request_fingerprint;
+            in_flight[attempt] = {other.request_fingerprint,
+                                  other.answer_begun};
         }
     }
     add_timeline_entry(
         "connection_lost", r.request.id,
         fmt::format("upstream={} incarnation={} in_flight={} begun={} parts={}",
                     upstream.profile.name, r.upstream_incarnation,
-                    in_flight_requests.size(), r.answer_begun,
+                    in_flight.size(), r.answer_begun,
                     format_parts(r.request.metadata.prompt)));
-    auto const crashed_requests = crash_detector_.record_lost_connection(
-        now, r.upstream, r.attempt, in_flight_requests);
-    if (crashed_requests && crashed_requests->size() >= options_.crash_quorum)
-    {
-        auto const crash_time = static_cast<std::uint64_t>(
-            now.time_since_epoch() / crash_timestamp_resolution);
-        quarantine_.crashed(now, {upstream.profile.name, crash_time},
-                            *crashed_requests, r.runs_alone);
-        add_timeline_entry("upstream_crashed", r.request.id,
-                           fmt::format("upstream={} in_flight={}",
-                                       upstream.profile.name,
-                                       crashed_requests->size()));
+    if (auto const suspects = crash_detector_.record_lost_connection(
+            now, r.upstream, r.attempt, in_flight))
+    {
+        record_crash(now, r.upstream, *suspects);
     }
+    else if (crash_detector_.needs_check(r.upstream))
+    {
+        emit_(check_upstream{upstream.profile.name, upstream.profile.address});
+    }
+}
+
+void request_path::handle(time_point now, upstream_checked const& what)
+{
+    event_time_ = now;
+    auto const index = upstreams_.find(what.upstream);
+    if (!index || !what.refused || upstreams_.row(*index).leaving)
+    {
+        return;
+    }
+    if (auto const suspects =
+            crash_detector_.record_refused_connection(now, *index))
+    {
+        record_crash(now, *index, *suspects);
+    }
+}
+
+// Marks the requests that may have crashed an upstream.
+void request_path::record_crash(time_point now, upstream_index upstream,
+                                std::set<fingerprint> const& suspects)
+{
+    upstream_row const& crashed = upstreams_.row(upstream);
+    // An upstream whose incarnation is not known is identified by the time.
+    std::uint64_t const incarnation =
+        crashed.incarnation > 0
+            ? crashed.incarnation
+            : static_cast<std::uint64_t>(now.time_since_epoch() /
+                                         crash_timestamp_resolution);
+    quarantine_.crashed(now, {crashed.profile.name, incarnation}, suspects,
+                        reserved_.contains(upstream));
+    add_timeline_entry("upstream_crashed", "",
+                       fmt::format("upstream={} incarnation={} suspects={}",
+                                   crashed.profile.name, incarnation,
+                                   suspects.size()));
 }
 
 bool request_path::schedule_retry(time_point now, row& r, retry_cause cause)
--- a/src/core/request_path.cpp
+++ b/src/core/request_path.cpp
@@ -55,7 +55,7 @@
       router_(options_.routing), retries_(options_.retries),
       outliers_(options_.outliers), quotas_(options_.quotas),
       started_usage_(options_.usage_window), quarantine_(options_.quarantined),
-      crash_detector_(options_.crash_window),
+      crash_detector_(options_.crashes),
       ledger_(ledger_options_of(options_),
               [this](ledger_effect const& effect) {
                   std::visit([this](auto const& e) { take(event_time_, e); },
@@ -103,6 +103,7 @@
         upstreams_.remove(name, upstreams_.row(*index).incarnation);
         router_.on_upstream_reset(*index);
         outliers_.on_upstream_reset(*index);
+        crash_detector_.on_upstream_reset(*index);
     }
 }
 
@@ -620,6 +621,7 @@
     {
         router_.on_upstream_reset(*known);
         outliers_.on_upstream_reset(*known);
+        crash_detector_.on_upstream_reset(*known);
     }
     upstreams_.put(profile_of(what.upstream, options_), what.incarnation);
     if (what.leaving)
--- a/src/core/request_path.hpp
+++ b/src/core/request_path.hpp
@@ -65,8 +65,7 @@
     retry_budget_options retries;
     outlier_options outliers;
     quarantine_options quarantined;
-    // An upstream has crashed if all its connections are lost within this time.
-    duration crash_window = std::chrono::milliseconds(200);
+    crash_detector_options crashes;
     // Bytes kept of the last tokens of each stream, while it is relayed.
     std::size_t stream_history_bytes = std::size_t{16} << 10;
     ledger_options requests_ledger; // vm and incarnation are set from above
@@ -93,9 +92,6 @@
     // Cap on the retry budget's balance for the whole fleet, divided evenly
     // between the VMs; 0: the cap of `retries` applies to each VM.
     double fleet_retry_cap = 0;
-    // An upstream counts as crashed only if at least this many connections to
-    // it were lost together.
-    std::size_t crash_quorum = 1;
 };
 
 class request_path
@@ -153,6 +149,9 @@
     // caller's request.
     void handle(time_point now, upstream_noticed const& what);
 
+    // The outcome of a check_upstream command.
+    void handle(time_point now, upstream_checked const& what);
+
     // Addition, update or removal of an upstream in the platform's directory.
     void handle(time_point now, upstream_listed const& what);
     void handle(time_point now, upstream_unlisted const& what);
@@ -323,6 +322,8 @@
     std::vector<upstream_index> exclusions_for(row const& r) const;
     void wait_for_upstream(time_point now, row& r);
     void detect_crash(time_point now, row const& r, std::string const& reason);
+    void record_crash(time_point now, upstream_index upstream,
+                      std::set<fingerprint> const& suspects);
     call upstream_request(time_point now, row const& r) const;
     request_features features_of(row const& r) const;
     row* row_of(attempt_id attempt);
--- a/src/core/session_text.cpp
+++ b/src/core/session_text.cpp
@@ -409,6 +409,10 @@
     {
         return fmt::format("read_load upstream={}", quoted_text(c.upstream));
     }
+    std::string operator()(check_upstream const& c) const
+    {
+        return fmt::format("check_upstream upstream={}", c.upstream);
+    }
     std::string operator()(take_configuration const& c) const
     {
         return fmt::format("take_configuration bytes={}", c.record.size());
