--- a/src/core/crash_fixture_test.hpp
+++ b/src/core/crash_fixture_test.hpp
@@ -113,6 +113,14 @@
         nodes_[to]->handle(now_, call_received{std::move(request)});
     }
 
+    // Crashes one upstream, whatever it runs.
+    void crash_any()
+    {
+        crash(std::next(upstreams_.begin(),
+                        static_cast<std::ptrdiff_t>(pick(upstreams_.size())))
+                  ->second);
+    }
+
     void run(duration span)
     {
         for (time_point const end = now_ + span; now_ < end;)
