A prompt part that crashes engines is found and refused in the whole fleet

Cause: the quarantine identifies a request by its body, and no two of these are alike. Class: an identity that is finer than the fault. Ruled out: that retries escape the decision, since no line says quarantined at all.

Crashes now mark the parts of the prompts in flight without an answer, an answer voids the marks known when its request was sent, and a part that was in three crashes is refused unless another part explains them better. A part with less than five marks is tried now and then. VMs send marks at once, and repeat what they refuse for those that start.

--- a/src/core/crash_detector.cpp
+++ b/src/core/crash_detector.cpp
@@ -5,7 +5,7 @@
 namespace amarantharch
 {
 
-std::optional<std::set<fingerprint>>
+std::optional<crash_suspects>
 crash_detector::record_lost_connection(time_point now, upstream_index upstream,
                                        attempt_id attempt,
                                        attempts_in_flight const& in_flight)
@@ -24,6 +24,11 @@
             started.missing.insert(id);
             (row.answer_begun ? started.begun : started.unanswered)
                 .insert(row.request_fingerprint);
+            if (!row.answer_begun)
+            {
+                started.unanswered_parts.insert(row.parts.begin(),
+                                                row.parts.end());
+            }
         }
         found = groups_.insert_or_assign(upstream, std::move(started)).first;
     }
@@ -42,7 +47,7 @@
            !std::exchange(found->second.checked, true);
 }
 
-std::optional<std::set<fingerprint>>
+std::optional<crash_suspects>
 crash_detector::record_refused_connection(time_point now,
                                           upstream_index upstream)
 {
@@ -62,13 +67,14 @@
     }
 }
 
-std::set<fingerprint>
+crash_suspects
 crash_detector::conclude(std::map<upstream_index, group>::iterator crashed)
 {
     group lost = std::move(crashed->second);
     groups_.erase(crashed);
-    return lost.unanswered.empty() ? std::move(lost.begun)
-                                   : std::move(lost.unanswered);
+    return {lost.unanswered.empty() ? std::move(lost.begun)
+                                    : std::move(lost.unanswered),
+            std::move(lost.unanswered_parts)};
 }
 
 } // namespace amarantharch
--- a/src/core/crash_detector.hpp
+++ b/src/core/crash_detector.hpp
@@ -21,6 +21,7 @@
 #define AMARANTHARCH_CORE_CRASH_DETECTOR_HPP
 
 #include "core/event.hpp"
+#include "core/prompt_part_quarantine.hpp"
 #include "core/quarantine.hpp"
 #include "core/time.hpp"
 #include "core/upstream_table.hpp"
@@ -44,6 +45,15 @@
 {
     fingerprint request_fingerprint = 0;
     bool answer_begun = false; // the caller has got a part of the answer
+    prompt_places parts = {};  // of its prompt
+};
+
+// What may have crashed an upstream.
+struct crash_suspects
+{
+    std::set<fingerprint> requests;
+    // Of the prompts of requests without an answer.
+    prompt_places parts;
 };
 
 using attempts_in_flight = std::map<attempt_id, attempt_in_flight>;
@@ -57,9 +67,9 @@
 
     // Records that the connection of `attempt` to `upstream` was lost.
     // `in_flight` holds all attempts at the upstream, including `attempt`.
-    // Returns the suspected requests if the upstream has crashed by the first
+    // Returns the suspects if the upstream has crashed by the first
     // rule.
-    std::optional<std::set<fingerprint>>
+    std::optional<crash_suspects>
     record_lost_connection(time_point now, upstream_index upstream,
                            attempt_id attempt,
                            attempts_in_flight const& in_flight);
@@ -68,9 +78,9 @@
     // it refuses. True once for each group.
     bool needs_check(upstream_index upstream);
 
-    // Records that the upstream refused a new connection. Returns the suspected
-    // requests if it has crashed by the second rule.
-    std::optional<std::set<fingerprint>>
+    // Records that the upstream refused a new connection. Returns the suspects
+    // if it has crashed by the second rule.
+    std::optional<crash_suspects>
     record_refused_connection(time_point now, upstream_index upstream);
 
     // Records that `attempt` was answered or cancelled. Its group can no longer
@@ -89,12 +99,13 @@
         time_point since;
         std::set<attempt_id> missing; // attempts not lost yet
         std::set<fingerprint> unanswered;
+        prompt_places unanswered_parts;
         std::set<fingerprint> begun;
         bool survivor = false; // an attempt of the group was not lost
         bool checked = false;
     };
 
-    std::set<fingerprint> conclude(std::map<upstream_index, group>::iterator);
+    crash_suspects conclude(std::map<upstream_index, group>::iterator);
 
     crash_detector_options options_;
     std::map<upstream_index, group> groups_;
--- a/src/core/crash_detector_test.cpp
+++ b/src/core/crash_detector_test.cpp
@@ -26,10 +26,10 @@
         !detector.record_lost_connection(at(0), upstream, 1, three_attempts));
     BOOST_TEST(!detector.record_lost_connection(at(1), upstream, 2,
                                                 {{2, {12}}, {3, {13}}}));
-    auto const fingerprints =
+    auto const suspects =
         detector.record_lost_connection(at(2), upstream, 3, {{3, {13}}});
-    BOOST_REQUIRE(fingerprints.has_value());
-    BOOST_TEST((*fingerprints == std::set<fingerprint>{11, 12, 13}));
+    BOOST_REQUIRE(suspects.has_value());
+    BOOST_TEST((suspects->requests == std::set<fingerprint>{11, 12, 13}));
 }
 
 BOOST_AUTO_TEST_CASE(crashed_if_the_only_one_was_lost)
@@ -73,7 +73,7 @@
     BOOST_TEST(!detector.needs_check(upstream));
     auto const suspects = detector.record_refused_connection(at(900), upstream);
     BOOST_REQUIRE(suspects.has_value());
-    BOOST_TEST((*suspects == std::set<fingerprint>{11, 12, 13}));
+    BOOST_TEST((suspects->requests == std::set<fingerprint>{11, 12, 13}));
     BOOST_TEST(!detector.record_refused_connection(at(901), upstream));
 }
 
@@ -108,21 +108,21 @@
 BOOST_AUTO_TEST_CASE(was_not_crashed_by_one_whose_answer_had_begun)
 {
     crash_detector detector({});
-    detector.record_lost_connection(at(0), upstream, 1,
-                                    {{1, {11, true}}, {2, {12, false}}});
-    auto const suspects =
-        detector.record_lost_connection(at(1), upstream, 2, {{2, {12, false}}});
+    detector.record_lost_connection(
+        at(0), upstream, 1, {{1, {11, true, {}}}, {2, {12, false, {}}}});
+    auto const suspects = detector.record_lost_connection(
+        at(1), upstream, 2, {{2, {12, false, {}}}});
     BOOST_REQUIRE(suspects.has_value());
-    BOOST_TEST((*suspects == std::set<fingerprint>{12}));
+    BOOST_TEST((suspects->requests == std::set<fingerprint>{12}));
 }
 
 BOOST_AUTO_TEST_CASE(was_crashed_by_one_of_them_if_all_answers_had_begun)
 {
     crash_detector detector({});
-    auto const suspects =
-        detector.record_lost_connection(at(0), upstream, 1, {{1, {11, true}}});
+    auto const suspects = detector.record_lost_connection(
+        at(0), upstream, 1, {{1, {11, true, {}}}});
     BOOST_REQUIRE(suspects.has_value());
-    BOOST_TEST((*suspects == std::set<fingerprint>{11}));
+    BOOST_TEST((suspects->requests == std::set<fingerprint>{11}));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/core/crash_fixture_test.hpp
+++ b/src/core/crash_fixture_test.hpp
@@ -64,20 +64,13 @@
         {
             upstreams_[fmt::format("desk-{}", i)];
         }
-        members_listed listed;
         for (std::size_t i = 0; i < options_.vms; ++i)
         {
-            nodes_.push_back(make_node(i));
-            listed.members.push_back({vm(i), fmt::format("10.0.0.{}:1", i),
-                                      fmt::format("domain-{}", i)});
+            nodes_.push_back(make_node(i, 1));
         }
-        for (auto const& each : nodes_)
+        for (std::size_t i = 0; i < options_.vms; ++i)
         {
-            each->handle(now_, listed);
-            for (auto const& [name, row] : upstreams_)
-            {
-                each->handle(now_, entry(name, row));
-            }
+            tell_directory(i);
         }
         run(std::chrono::seconds(5));
     }
@@ -113,6 +106,20 @@
         nodes_[to]->handle(now_, call_received{std::move(request)});
     }
 
+    // Replaces a VM by one that knows nothing.
+    void restart_vm(std::size_t i)
+    {
+        for (auto& [name, row] : upstreams_)
+        {
+            std::erase_if(row.running, [i](auto const& each)
+                          { return each.second.vm == i; });
+        }
+        std::erase_if(events_,
+                      [i](auto const& each) { return each.first == i; });
+        nodes_[i] = make_node(i, ++incarnation_);
+        tell_directory(i);
+    }
+
     // Crashes one upstream, whatever it runs.
     void crash_any()
     {
@@ -176,10 +183,27 @@
         return listed;
     }
 
-    std::unique_ptr<node> make_node(std::size_t i)
+    // Tells a VM of all VMs and upstreams.
+    void tell_directory(std::size_t to)
+    {
+        members_listed listed;
+        for (std::size_t i = 0; i < options_.vms; ++i)
+        {
+            listed.members.push_back({vm(i), fmt::format("10.0.0.{}:1", i),
+                                      fmt::format("domain-{}", i)});
+        }
+        nodes_[to]->handle(now_, listed);
+        for (auto const& [name, row] : upstreams_)
+        {
+            nodes_[to]->handle(now_, entry(name, row));
+        }
+    }
+
+    std::unique_ptr<node> make_node(std::size_t i, std::uint64_t incarnation)
     {
         node_options options;
         options.requests.vm = vm(i);
+        options.requests.incarnation = incarnation;
         options.requests.seed = options_.seed * 100 + i;
         options.requests.records_requests = false;
         options.requests.held_answer_bytes = 1'000;
@@ -187,6 +211,7 @@
         options.requests.quarantined_status = 503;
         options.requests.retries.initial = 20;
         options.control.vm = vm(i);
+        options.control.incarnation = incarnation;
         options.control.address = fmt::format("10.0.0.{}:1", i);
         options.control.failure_domain = fmt::format("domain-{}", i);
         options.control.seed = i + 1;
@@ -260,7 +285,8 @@
         tally& row = tallies_[kinds_[what.request]];
         ++row.refused;
         row.quarantined += what.why.reason == "quarantined" ||
-                                   what.why.reason == "crash_suspected"
+                                   what.why.reason == "crash_suspected" ||
+                                   what.why.reason == "prompt_part_quarantined"
                                ? 1
                                : 0;
     }
@@ -365,6 +391,7 @@
     std::map<std::string, tally> tallies_;
     std::vector<time_point> crashes_;
     std::uint64_t next_request_ = 1;
+    std::uint64_t incarnation_ = 1; // of the VM started last
 };
 
 } // namespace amarantharch::test
--- a/src/core/crashing_prompt_part_test.cpp
+++ b/src/core/crashing_prompt_part_test.cpp
@@ -117,14 +117,17 @@
     }
 }
 
-// Share of the requests of a kind that are answered among those sent in a run
-// of five seconds.
+// Share of the requests of a kind that are answered, of those sent in a run of
+// five seconds.
 template <typename MakeFatal>
 double served_share(test::crash_world& world, prompts& make,
                     std::string const& kind, MakeFatal fatal)
 {
+    constexpr seconds longest_answer{2};
+    world.run(longest_answer);
     auto const before = world.of(kind);
     send_requests(world, make, seconds(5), fatal);
+    world.run(longest_answer);
     auto const& after = world.of(kind);
     return static_cast<double>(after.answered - before.answered) /
            static_cast<double>(after.sent - before.sent);
@@ -173,6 +176,26 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(are_not_sent_by_a_vm_that_has_started_since)
+{
+    test::crash_world world(engines(1), has_fatal_part);
+    prompts make(world);
+    auto const fatal = [&]
+    {
+        return make.with(first_part_base, fatal_part);
+    };
+    send_requests(world, make, seconds(20), fatal);
+    auto const before = world.of("fatal").arrivals.size();
+    world.restart_vm(0);
+    world.run(contact);
+    for (int i = 0; i < 20; ++i)
+    {
+        world.send(0, "fatal", fatal());
+        world.run(milliseconds(200));
+    }
+    BOOST_TEST(world.of("fatal").arrivals.size() == before);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(engines_that_crash_for_other_reasons)
--- a/src/core/peer_exchange.cpp
+++ b/src/core/peer_exchange.cpp
@@ -41,6 +41,7 @@
         requests.merge_usage(now, row.service, row.usage);
     }
     requests.crash_quarantine().merge(now, update->quarantined);
+    requests.part_quarantine().merge(now, update->quarantined_parts);
     requests.adopt(now, update->handed_over);
     for (move_evidence const& row : update->evidence)
     {
@@ -150,9 +151,11 @@
     {
         peer_update urgent;
         urgent.quarantined = requests.crash_quarantine().take_changes();
+        urgent.quarantined_parts = requests.part_quarantine().take_changes();
         urgent.leaving_upstreams = requests.take_found_leaving();
         bool const any = !urgent.quarantined.marks.empty() ||
                          !urgent.quarantined.clearances.empty() ||
+                         !urgent.quarantined_parts.empty() ||
                          !urgent.leaving_upstreams.empty();
         if (any)
         {
@@ -161,6 +164,11 @@
                  urgent);
         }
     }
+    if (now >= refusals_due_)
+    {
+        refusals_due_ = now + options_.refusals_interval;
+        send_refusals(members, requests);
+    }
     peer_update handover;
     handover.handed_over = requests.take_handed_over();
     if (!handover.handed_over.empty())
@@ -201,6 +209,19 @@
     }
 }
 
+// Repeats which prompt parts are refused, for VMs that have started since.
+void peer_exchange::send_refusals(membership const& members,
+                                  request_path& requests)
+{
+    peer_update update;
+    update.quarantined_parts = requests.part_quarantine().refused_state();
+    if (!update.quarantined_parts.empty())
+    {
+        send(next_peers(members, options_.refusals_fanout, next_refusals_peer_),
+             update);
+    }
+}
+
 void peer_exchange::ask_for_configuration(time_point now)
 {
     auto const peer = configuration_.next_request(now);
--- a/src/core/peer_update.hpp
+++ b/src/core/peer_update.hpp
@@ -10,6 +10,7 @@
 #include "core/admission.hpp"
 #include "core/configuration_relay.hpp"
 #include "core/load_sharing.hpp"
+#include "core/prompt_part_quarantine.hpp"
 #include "core/quarantine.hpp"
 #include "core/service_demand.hpp"
 #include "core/shared_quota.hpp"
@@ -72,12 +73,13 @@
     std::uint64_t configuration_version = 0;
     bool wants_configuration = false;
     std::vector<configuration_piece> configuration_pieces;
+    prompt_part_delta quarantined_parts;
     MSGPACK_DEFINE(usage, quarantined, leaving, handed_over, evidence,
                    quota_reports, request_counts, move_states, demand,
                    reading_reports, holds_duties, loads, leaving_upstreams,
                    relayed_quotas, cell, quota_sums, duty_holder,
                    configuration_version, wants_configuration,
-                   configuration_pieces)
+                   configuration_pieces, quarantined_parts)
 };
 
 std::string encode(peer_update const& update);
--- /dev/null
+++ b/src/core/prompt_part_quarantine.cpp
@@ -0,0 +1,277 @@
+#include "core/prompt_part_quarantine.hpp"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace amarantharch
+{
+
+namespace
+{
+
+constexpr duration expiry_interval = std::chrono::seconds(1);
+
+} // namespace
+
+prompt_places suspect_parts(std::vector<prompt_part> const& prompt)
+{
+    prompt_places places;
+    for (std::size_t i = 0; i + 1 < prompt.size(); ++i)
+    {
+        places.try_emplace(prompt[i].id, static_cast<std::uint32_t>(i));
+    }
+    return places;
+}
+
+std::uint64_t crash_number(crash_id const& crash)
+{
+    return XXH3_64bits_withSeed(crash.upstream.data(), crash.upstream.size(),
+                                crash.incarnation);
+}
+
+prompt_part_quarantine::prompt_part_quarantine(
+    prompt_part_quarantine_options options)
+    : options_(std::move(options))
+{
+}
+
+bool prompt_part_quarantine::may_send(time_point now,
+                                      std::vector<prompt_part> const& prompt)
+{
+    std::vector<row*> trials;
+    for (auto const& [part, place] : suspect_parts(prompt))
+    {
+        if (!is_refused(part))
+        {
+            continue;
+        }
+        row& r = rows_.at(part);
+        bool const is_trial = valid_marks(r) < options_.certain_crashes &&
+                              now >= next_trial(part, r);
+        if (!is_trial)
+        {
+            return false;
+        }
+        trials.push_back(&r);
+    }
+    for (row* const r : trials)
+    {
+        r->last_trial_at = now;
+    }
+    return true;
+}
+
+std::vector<part_clearance>
+prompt_part_quarantine::marks_of(std::vector<prompt_part> const& prompt) const
+{
+    std::vector<part_clearance> result;
+    for (auto const& [part, place] : suspect_parts(prompt))
+    {
+        auto const found = rows_.find(part);
+        if (found == rows_.end())
+        {
+            continue;
+        }
+        part_clearance marks{part, {}};
+        for (auto const& [crash, each] : found->second.marks)
+        {
+            if (!each.is_void)
+            {
+                marks.crashes.push_back(crash);
+            }
+        }
+        if (!marks.crashes.empty())
+        {
+            result.push_back(std::move(marks));
+        }
+    }
+    return result;
+}
+
+void prompt_part_quarantine::crashed(time_point now, crash_id const& crash,
+                                     prompt_places const& parts)
+{
+    merge(now, {{{crash_number(crash), parts}}, {}});
+}
+
+void prompt_part_quarantine::answered(time_point now,
+                                      std::vector<part_clearance> const& marks)
+{
+    merge(now, {{}, marks});
+}
+
+void prompt_part_quarantine::merge(time_point now,
+                                   prompt_part_delta const& delta)
+{
+    for (part_crash const& crash : delta.crashes)
+    {
+        part_crash added{crash.crash, {}};
+        for (auto const& [part, place] : crash.parts)
+        {
+            if (add(now, crash.crash, part, place))
+            {
+                added.parts.emplace(part, place);
+            }
+        }
+        if (!added.parts.empty())
+        {
+            changes_.crashes.push_back(std::move(added));
+        }
+    }
+    for (part_clearance const& clearance : delta.clearances)
+    {
+        part_clearance cleared{clearance.part, {}};
+        for (std::uint64_t const crash : clearance.crashes)
+        {
+            if (clear(now, clearance.part, crash))
+            {
+                cleared.crashes.push_back(crash);
+            }
+        }
+        if (!cleared.crashes.empty())
+        {
+            changes_.clearances.push_back(std::move(cleared));
+        }
+    }
+    evict_oldest_parts();
+}
+
+prompt_part_delta prompt_part_quarantine::take_changes()
+{
+    return std::exchange(changes_, {});
+}
+
+prompt_part_delta prompt_part_quarantine::refused_state() const
+{
+    prompt_part_delta state;
+    for (auto const& [part, r] : rows_)
+    {
+        if (!is_refused(part))
+        {
+            continue;
+        }
+        for (auto const& [crash, each] : r.marks)
+        {
+            if (!each.is_void)
+            {
+                state.crashes.push_back({crash, {{part, r.place}}});
+            }
+        }
+    }
+    return state;
+}
+
+bool prompt_part_quarantine::add(time_point now, std::uint64_t crash,
+                                 std::uint64_t part, std::uint32_t place)
+{
+    auto const [found, is_new] = rows_.try_emplace(part);
+    row& r = found->second;
+    r.place = is_new ? place : std::min(r.place, place);
+    if (r.marks.size() >= options_.max_marks_per_part ||
+        !r.marks.try_emplace(crash, mark{now}).second)
+    {
+        return false;
+    }
+    r.last_mark_at = now;
+    return true;
+}
+
+// A mark that is not known yet is kept as void, for when it arrives.
+bool prompt_part_quarantine::clear(time_point now, std::uint64_t part,
+                                   std::uint64_t crash)
+{
+    row& r = rows_[part];
+    if (r.marks.size() >= options_.max_marks_per_part &&
+        !r.marks.contains(crash))
+    {
+        return false;
+    }
+    mark& cleared = r.marks.try_emplace(crash, mark{now}).first->second;
+    return !std::exchange(cleared.is_void, true);
+}
+
+bool prompt_part_quarantine::is_refused(std::uint64_t part) const
+{
+    auto const found = rows_.find(part);
+    if (found == rows_.end() ||
+        valid_marks(found->second) < options_.min_crashes)
+    {
+        return false;
+    }
+    return std::ranges::none_of(rows_,
+                                [&](auto const& other) {
+                                    return explains_better(other.first,
+                                                           other.second, part,
+                                                           found->second);
+                                });
+}
+
+bool prompt_part_quarantine::explains_better(std::uint64_t other,
+                                             row const& other_row,
+                                             std::uint64_t part,
+                                             row const& part_row) const
+{
+    std::size_t const others = valid_marks(other_row);
+    std::size_t const own = valid_marks(part_row);
+    bool const more =
+        others > own || (others == own && other_row.place > part_row.place);
+    if (other == part || !more)
+    {
+        return false;
+    }
+    return std::ranges::all_of(
+        part_row.marks,
+        [&](auto const& each)
+        {
+            auto const shared = other_row.marks.find(each.first);
+            return each.second.is_void ||
+                   (shared != other_row.marks.end() && !shared->second.is_void);
+        });
+}
+
+std::size_t prompt_part_quarantine::valid_marks(row const& r)
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+        r.marks, [](auto const& each) { return !each.second.is_void; }));
+}
+
+time_point prompt_part_quarantine::next_trial(std::uint64_t part,
+                                              row const& r) const
+{
+    std::uint64_t const turn =
+        XXH3_64bits_withSeed(options_.vm.data(), options_.vm.size(), part) %
+        options_.trial_turns;
+    return std::max(r.last_mark_at, r.last_trial_at) +
+           options_.trial_interval * static_cast<std::int64_t>(turn + 1);
+}
+
+void prompt_part_quarantine::tick(time_point now)
+{
+    if (now < next_expiry_)
+    {
+        return;
+    }
+    next_expiry_ = now + expiry_interval;
+    for (auto found = rows_.begin(); found != rows_.end();)
+    {
+        row& r = found->second;
+        std::erase_if(
+            r.marks, [&](auto const& each)
+            { return now - each.second.known_since > options_.retention; });
+        found = r.marks.empty() ? rows_.erase(found) : std::next(found);
+    }
+}
+
+void prompt_part_quarantine::evict_oldest_parts()
+{
+    while (rows_.size() > options_.max_parts)
+    {
+        rows_.erase(std::ranges::min_element(
+            rows_, [](auto const& a, auto const& b)
+            { return a.second.last_mark_at < b.second.last_mark_at; }));
+    }
+}
+
+} // namespace amarantharch
--- /dev/null
+++ b/src/core/prompt_part_quarantine.hpp
@@ -0,0 +1,176 @@
+// Finds the part of prompts that crashes the engines that answer them, and
+// tells which requests to refuse for it.
+//
+// The quarantine of whole requests (quarantine.hpp) needs to see a request
+// twice. Here no two requests are alike; they only share a part of their
+// prompts, which crashes an engine as soon as it begins to answer. The last
+// part of a prompt belongs to one request and is never suspected.
+//
+// Algorithm. A crash marks the parts of all requests that were in flight at the
+// engine without an answer. An engine that begins to answer a request has
+// survived its parts: that voids the marks that this VM knew of when it sent
+// the request, wherever they came from. A part is refused while it has
+// `min_crashes` valid marks, unless another part explains these crashes better:
+// one that was in all of them and in more, or in the same ones and at a later
+// place, which fewer requests share.
+//
+// Why it finds the right part: the fatal part is in every crash that it causes
+// and its marks are never voided, so no part has marks of these crashes that it
+// has not, and it is not refused for another. A sound part loses its marks with
+// the next answer. While a part has fewer than `certain_crashes` marks, each VM
+// lets a request through as a trial now and then, so that a sound part that is
+// refused by chance gets its answer. Trials wait `trial_interval` from the last
+// mark and take turns between VMs.
+//
+// The state is a set of marks, each void or not. Merging is union, so messages
+// may be repeated, reordered and delayed. Marks expire `retention` after they
+// became known.
+//
+// Cost: a decision is O(parts of the prompt) while none of them is marked, else
+// O(marked parts). A crash adds a few dozen parts; those whose last mark is
+// oldest are dropped beyond `max_parts`.
+#ifndef AMARANTHARCH_CORE_PROMPT_PART_QUARANTINE_HPP
+#define AMARANTHARCH_CORE_PROMPT_PART_QUARANTINE_HPP
+
+#include "core/call.hpp"
+#include "core/quarantine.hpp"
+#include "core/time.hpp"
+
+#include <msgpack.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace amarantharch
+{
+
+struct prompt_part_quarantine_options
+{
+    std::string vm;
+    std::size_t min_crashes = 3;
+    std::size_t certain_crashes = 5;
+    duration trial_interval = std::chrono::seconds(2);
+    // Trials of different VMs are spread over this many intervals.
+    std::uint32_t trial_turns = 8;
+    duration retention = std::chrono::minutes(10);
+    std::size_t max_parts = 4'000;
+    std::size_t max_marks_per_part = 64;
+};
+
+// Part ids with the places at which they stand in their prompts.
+using prompt_places = std::map<std::uint64_t, std::uint32_t>;
+
+// The parts of a prompt that may be suspected: all but the last.
+prompt_places suspect_parts(std::vector<prompt_part> const& prompt);
+
+// Identifies a crash in messages; equal at all VMs.
+std::uint64_t crash_number(crash_id const& crash);
+
+// Parts that were in flight without an answer at a crash.
+struct part_crash
+{
+    std::uint64_t crash = 0;
+    prompt_places parts;
+    MSGPACK_DEFINE(crash, parts)
+};
+
+// Marks of one part that are void, by their crashes.
+struct part_clearance
+{
+    std::uint64_t part = 0;
+    std::vector<std::uint64_t> crashes;
+    MSGPACK_DEFINE(part, crashes)
+};
+
+// The changes that VMs send each other.
+struct prompt_part_delta
+{
+    std::vector<part_crash> crashes;
+    std::vector<part_clearance> clearances;
+
+    bool empty() const
+    {
+        return crashes.empty() && clearances.empty();
+    }
+    MSGPACK_DEFINE(crashes, clearances)
+};
+
+class prompt_part_quarantine
+{
+public:
+    explicit prompt_part_quarantine(prompt_part_quarantine_options options);
+
+    // Whether a request with this prompt may be sent now. A trial counts as
+    // made.
+    bool may_send(time_point now, std::vector<prompt_part> const& prompt);
+
+    // The valid marks of the prompt's parts, to be voided if an engine begins
+    // to answer a request that is sent now.
+    std::vector<part_clearance>
+    marks_of(std::vector<prompt_part> const& prompt) const;
+
+    // An engine crashed with these parts in flight at this VM.
+    void crashed(time_point now, crash_id const& crash,
+                 prompt_places const& parts);
+
+    // An engine has begun to answer a request for which marks_of gave `marks`.
+    void answered(time_point now, std::vector<part_clearance> const& marks);
+
+    // Merges another VM's changes; what is new is part of the next
+    // take_changes().
+    void merge(time_point now, prompt_part_delta const& delta);
+
+    // Returns the changes since the last call, to be sent to peers at once.
+    prompt_part_delta take_changes();
+
+    // The marks of all refused parts, for VMs that start.
+    prompt_part_delta refused_state() const;
+
+    // Whether the part is refused, but for trials.
+    bool is_refused(std::uint64_t part) const;
+
+    // Drops expired marks.
+    void tick(time_point now);
+
+    // The number of parts with marks.
+    std::size_t size() const
+    {
+        return rows_.size();
+    }
+
+private:
+    struct mark
+    {
+        time_point known_since;
+        bool is_void = false;
+    };
+
+    struct row
+    {
+        std::uint32_t place = 0;             // the earliest at which it stood
+        std::map<std::uint64_t, mark> marks; // by crash
+        time_point last_mark_at;
+        time_point last_trial_at;
+    };
+
+    bool add(time_point now, std::uint64_t crash, std::uint64_t part,
+             std::uint32_t place);
+    bool clear(time_point now, std::uint64_t part, std::uint64_t crash);
+    bool explains_better(std::uint64_t other, row const& other_row,
+                         std::uint64_t part, row const& part_row) const;
+    static std::size_t valid_marks(row const& r);
+    time_point next_trial(std::uint64_t part, row const& r) const;
+    void evict_oldest_parts();
+
+    prompt_part_quarantine_options options_;
+    std::map<std::uint64_t, row> rows_; // by part
+    prompt_part_delta changes_;
+    time_point next_expiry_{};
+};
+
+} // namespace amarantharch
+
+#endif
--- a/src/core/request_attempts.cpp
+++ b/src/core/request_attempts.cpp
@@ -203,6 +203,12 @@
     {
         return;
     }
+    if (!part_quarantine_.may_send(now, r.request.metadata.prompt))
+    {
+        refuse(now, r, options_.quarantined_status, "prompt_part_quarantined",
+               duration::zero());
+        return;
+    }
     request_features features = features_of(r);
     auto const chosen = choose_upstream(now, r, features);
     if (!chosen && (r.runs_alone || !reserved_.empty()))
@@ -223,6 +229,7 @@
     r.upstream_incarnation = upstreams_.row(r.upstream).incarnation;
     ++r.attempts;
     attempts_[r.attempt] = r.request.id;
+    r.part_marks = part_quarantine_.marks_of(r.request.metadata.prompt);
     if (r.runs_alone)
     {
         reserved_[r.upstream] = r.request.id;
@@ -435,6 +442,15 @@
     emit_(answer_piece{r->request.id, what.bytes});
 }
 
+// The upstream has survived the parts of the request's prompt.
+void request_path::record_begun_answer(time_point now, row& r)
+{
+    if (!r.part_marks.empty())
+    {
+        part_quarantine_.answered(now, std::exchange(r.part_marks, {}));
+    }
+}
+
 // Forwards complete events. A gap ends the attempt, and the stream resumes at
 // another upstream if it can.
 void request_path::relay_events(time_point now, row& r,
@@ -443,6 +459,10 @@
     std::string out;
     bool const whole = r.sse_relay->feed(r.attempt, bytes, out);
     r.answer_bytes += out.size();
+    if (!out.empty())
+    {
+        record_begun_answer(now, r);
+    }
     if (!out.empty() && r.caller_waits)
     {
         release_held_answer(r);
@@ -472,6 +492,7 @@
     r.answer_bytes += out.size();
     if (!out.empty())
     {
+        record_begun_answer(now, r);
         emit_(answer_piece{r.request.id, std::move(out)});
     }
     if (state == relay_state::waiting)
@@ -506,6 +527,7 @@
     {
         quarantine_.completed_alone(now, r->request_fingerprint);
     }
+    record_begun_answer(now, *r);
     retries_.on_success(r->route.service);
     finish(now, *r);
 }
@@ -581,8 +603,8 @@
         row const& other = rows_.at(request);
         if (other.upstream == r.upstream)
         {
-            in_flight[attempt] = {other.request_fingerprint,
-                                  other.answer_begun};
+            in_flight[attempt] = {other.request_fingerprint, other.answer_begun,
+                                  suspect_parts(other.request.metadata.prompt)};
         }
     }
     add_timeline_entry(
@@ -619,7 +641,7 @@
 
 // Marks the requests that may have crashed an upstream.
 void request_path::record_crash(time_point now, upstream_index upstream,
-                                std::set<fingerprint> const& suspects)
+                                crash_suspects const& suspects)
 {
     upstream_row const& crashed = upstreams_.row(upstream);
     // An upstream whose incarnation is not known is identified by the time.
@@ -628,12 +650,15 @@
             ? crashed.incarnation
             : static_cast<std::uint64_t>(now.time_since_epoch() /
                                          crash_timestamp_resolution);
-    quarantine_.crashed(now, {crashed.profile.name, incarnation}, suspects,
+    crash_id const crash{crashed.profile.name, incarnation};
+    quarantine_.crashed(now, crash, suspects.requests,
                         reserved_.contains(upstream));
-    add_timeline_entry("upstream_crashed", "",
-                       fmt::format("upstream={} incarnation={} suspects={}",
-                                   crashed.profile.name, incarnation,
-                                   suspects.size()));
+    part_quarantine_.crashed(now, crash, suspects.parts);
+    add_timeline_entry(
+        "upstream_crashed", "",
+        fmt::format("upstream={} incarnation={} requests={} parts={}",
+                    crashed.profile.name, incarnation, suspects.requests.size(),
+                    suspects.parts.size()));
 }
 
 bool request_path::schedule_retry(time_point now, row& r, retry_cause cause)
--- a/src/core/request_path.cpp
+++ b/src/core/request_path.cpp
@@ -46,6 +46,14 @@
     return result;
 }
 
+prompt_part_quarantine_options
+part_options_of(request_path_options const& options)
+{
+    prompt_part_quarantine_options result = options.quarantined_parts;
+    result.vm = options.vm;
+    return result;
+}
+
 } // namespace
 
 request_path::request_path(request_path_options options, command_sink emit,
@@ -55,6 +63,7 @@
       router_(options_.routing), retries_(options_.retries),
       outliers_(options_.outliers), quotas_(options_.quotas),
       started_usage_(options_.usage_window), quarantine_(options_.quarantined),
+      part_quarantine_(part_options_of(options_)),
       crash_detector_(options_.crashes),
       ledger_(ledger_options_of(options_),
               [this](ledger_effect const& effect) {
@@ -733,6 +742,7 @@
     event_time_ = now;
     ledger_.tick(now);
     quarantine_.tick(now);
+    part_quarantine_.tick(now);
     demand_.tick(now);
     bool const must_stop_now =
         stop_deadline_ && now >= *stop_deadline_ - stop_margin;
--- a/src/core/request_path.hpp
+++ b/src/core/request_path.hpp
@@ -31,6 +31,7 @@
 #include "core/move_table.hpp"
 #include "core/outlier.hpp"
 #include "core/peer_update.hpp"
+#include "core/prompt_part_quarantine.hpp"
 #include "core/quarantine.hpp"
 #include "core/retry_budget.hpp"
 #include "core/routing.hpp"
@@ -65,6 +66,7 @@
     retry_budget_options retries;
     outlier_options outliers;
     quarantine_options quarantined;
+    prompt_part_quarantine_options quarantined_parts; // vm is set from above
     crash_detector_options crashes;
     // Bytes kept of the last tokens of each stream, while it is relayed.
     std::size_t stream_history_bytes = std::size_t{16} << 10;
@@ -216,6 +218,10 @@
     {
         return quarantine_;
     }
+    prompt_part_quarantine& part_quarantine()
+    {
+        return part_quarantine_;
+    }
     ledger& requests_ledger()
     {
         return ledger_;
@@ -286,6 +292,8 @@
         version_choice version;
         fingerprint request_fingerprint = 0;
         bool runs_alone = false; // no other request may run on its upstream
+        // Marks that its prompt's parts had when the attempt was sent.
+        std::vector<part_clearance> part_marks;
     };
 
     // Arrival.
@@ -323,7 +331,8 @@
     void wait_for_upstream(time_point now, row& r);
     void detect_crash(time_point now, row const& r, std::string const& reason);
     void record_crash(time_point now, upstream_index upstream,
-                      std::set<fingerprint> const& suspects);
+                      crash_suspects const& suspects);
+    void record_begun_answer(time_point now, row& r);
     call upstream_request(time_point now, row const& r) const;
     request_features features_of(row const& r) const;
     row* row_of(attempt_id attempt);
@@ -376,6 +385,7 @@
     usage_windows started_usage_;
     service_demand demand_;
     quarantine quarantine_;
+    prompt_part_quarantine part_quarantine_;
     crash_detector crash_detector_;
     // Upstreams reserved for one request that may crash them; they get no
     // other.
