A new version is kept only once it is shown not to be several times slower

Cause: a move was done when no test had found a regression by the end of the soak; with 5 to 7 answers of the new version a second, split into six cells, the tests seldom had the power. Class: the lack of evidence against was taken for evidence for.

A move is done only once a test of its own has shown, over all routes, that the new version is not slower by 2.5 times or more, and no route speaks against it; else it ends as not done. The sum over all cells is tested for versions that are much slower, which finds them sooner. Empty caches stay within its ratio of two.

--- a/src/core/version_evidence.cpp
+++ b/src/core/version_evidence.cpp
@@ -12,6 +12,10 @@
 // Ratios of new to old up to which the new version counts as not worse.
 constexpr double tolerated_failure_ratio = 1.5;
 constexpr double tolerated_latency_ratio = 1.15;
+// A new version is much slower beyond this, even with empty caches.
+constexpr double slow_latency_ratio = 2;
+// A version is to be proved faster than this before it is kept.
+constexpr double several_times = 2.5;
 
 constexpr std::array<double, failure_grid_size> failure_ratios{3, 8, 30, 150,
                                                                1'000};
@@ -44,6 +48,24 @@
     return highest + std::log(sum / static_cast<double>(Size));
 }
 
+// Bets on a high rank among `block` answers.
+void bet_on_rank(std::size_t rank, std::size_t block,
+                 std::array<double, latency_grid_size>& log_wealth)
+{
+    double const relative =
+        2 * static_cast<double>(rank) / static_cast<double>(block) - 1;
+    for (std::size_t i = 0; i < linear_stakes.size(); ++i)
+    {
+        log_wealth[i] += std::log1p(linear_stakes[i] * relative);
+    }
+    // Pays `high` on the highest of block + 1 ranks and `low` on the others;
+    // the mean over uniform ranks is 1.
+    double const ranks = static_cast<double>(block) + 1;
+    double const high = ranks / 2;
+    double const low = (ranks - high) / (ranks - 1);
+    log_wealth.back() += std::log(rank == block ? high : low);
+}
+
 } // namespace
 
 void test_evidence::add(test_evidence const& other)
@@ -59,6 +81,8 @@
     for (std::size_t i = 0; i < latency_grid_size; ++i)
     {
         latency_log_wealth[i] += other.latency_log_wealth[i];
+        slow_log_wealth[i] += other.slow_log_wealth[i];
+        sound_log_wealth[i] += other.sound_log_wealth[i];
     }
 }
 
@@ -72,6 +96,16 @@
     return log_mixture(latency_log_wealth);
 }
 
+double test_evidence::slow_log_mixture() const
+{
+    return log_mixture(slow_log_wealth);
+}
+
+double test_evidence::sound_log_mixture() const
+{
+    return log_mixture(sound_log_wealth);
+}
+
 void sequential_test::on_failure(version_arm arm, double new_share)
 {
     bool const is_new = arm == version_arm::new_version;
@@ -110,35 +144,27 @@
         old_answers_.pop_front();
     }
     std::size_t const block = std::min(block_size, old_answers_.size());
-    auto const adjusted = std::chrono::duration<double, std::micro>(latency) /
-                          tolerated_latency_ratio;
-    std::size_t rank = 0; // number of faster old answers
-    for (std::size_t i = 0; i < block; ++i)
+    auto const first = old_answers_.end() - static_cast<std::ptrdiff_t>(block);
+    // The number of the block's answers that are faster than this one, had it
+    // been faster by `ratio`.
+    auto const rank_at = [&](double ratio)
     {
-        rank += old_answers_.back().latency < adjusted ? 1 : 0;
-        old_answers_.pop_back();
-    }
+        auto const adjusted =
+            std::chrono::duration<double, std::micro>(latency) / ratio;
+        return static_cast<std::size_t>(std::count_if(
+            first, old_answers_.end(),
+            [&](old_answer const& old) { return old.latency < adjusted; }));
+    };
     if (block > 0)
     {
-        bet_on_rank(rank, block);
-    }
-}
-
-void sequential_test::bet_on_rank(std::size_t rank, std::size_t block)
-{
-    double const relative =
-        2 * static_cast<double>(rank) / static_cast<double>(block) - 1;
-    for (std::size_t i = 0; i < linear_stakes.size(); ++i)
-    {
-        evidence_.latency_log_wealth[i] +=
-            std::log1p(linear_stakes[i] * relative);
+        bet_on_rank(rank_at(tolerated_latency_ratio), block,
+                    evidence_.latency_log_wealth);
+        bet_on_rank(rank_at(slow_latency_ratio), block,
+                    evidence_.slow_log_wealth);
+        bet_on_rank(block - rank_at(several_times), block,
+                    evidence_.sound_log_wealth);
     }
-    // Pays `high` on the highest of block + 1 ranks and `low` on the others;
-    // the mean over uniform ranks is 1.
-    double const ranks = static_cast<double>(block) + 1;
-    double const high = ranks / 2;
-    double const low = (ranks - high) / (ranks - 1);
-    evidence_.latency_log_wealth.back() += std::log(rank == block ? high : low);
+    old_answers_.erase(first, old_answers_.end());
 }
 
 } // namespace amarantharch
--- a/src/core/version_evidence.hpp
+++ b/src/core/version_evidence.hpp
@@ -20,6 +20,13 @@
 // no greater than uniform ranks. Each bet increases with the rank and has mean
 // 1 under uniform ranks. No latency distribution is assumed.
 //
+// Two more martingales use the same blocks. One asks whether the new version is
+// slower by more than `slow_latency_ratio`; empty caches alone do not make it
+// so, so it may be summed over routes. The other is the reverse: it bets on low
+// ranks under the null hypothesis that the new version is slower by
+// `several_times` or more, and so proves that it is not. Lack of evidence that
+// a version is bad is no evidence that it is good.
+//
 // Logarithms of wealth from independent evidence add up, so the evidence of
 // several VMs is merged by summing.
 // Cost: O(grid) per answer; about 700 bytes per test.
@@ -56,13 +63,18 @@
     std::uint64_t new_failures = 0;
     std::array<double, failure_grid_size> failure_log_wealth{};
     std::array<double, latency_grid_size> latency_log_wealth{};
+    std::array<double, latency_grid_size> slow_log_wealth{};
+    std::array<double, latency_grid_size> sound_log_wealth{};
     MSGPACK_DEFINE(old_requests, new_requests, old_failures, new_failures,
-                   failure_log_wealth, latency_log_wealth)
+                   failure_log_wealth, latency_log_wealth, slow_log_wealth,
+                   sound_log_wealth)
 
     void add(test_evidence const& other);
     // Logarithm of the wealth, averaged over the grid.
     double failure_log_mixture() const;
     double latency_log_mixture() const;
+    double slow_log_mixture() const;
+    double sound_log_mixture() const;
 };
 
 class sequential_test
@@ -88,8 +100,6 @@
         duration latency;
     };
 
-    void bet_on_rank(std::size_t rank, std::size_t block);
-
     test_evidence evidence_;
     std::deque<old_answer> old_answers_; // not ranked against yet; oldest first
 };
--- a/src/core/version_move.cpp
+++ b/src/core/version_move.cpp
@@ -30,6 +30,16 @@
 
 } // namespace
 
+test_evidence version_move::sum_of(cell_sums const& cells)
+{
+    test_evidence sum;
+    for (auto const& [key, evidence] : cells)
+    {
+        sum.add(evidence);
+    }
+    return sum;
+}
+
 version_move::version_move(move_plan plan, move_options options)
     : plan_(std::move(plan)), options_(std::move(options)),
       last_contact_at_(plan_.started)
@@ -195,14 +205,20 @@
         auto const soak =
             std::chrono::duration<double>(plan_.deadline - plan_.started) *
             options_.soak_share;
-        if (last_stage_since_ && now - *last_stage_since_ >= soak)
+        if (last_stage_since_ && now - *last_stage_since_ >= soak &&
+            missing_soundness(merged_evidence()).empty())
         {
             return record_of(move_state::done, "");
         }
     }
     if (now >= plan_.deadline)
     {
-        std::string const missing = missing_evidence(merged_evidence());
+        cell_sums const cells = merged_evidence();
+        std::string missing = missing_evidence(cells);
+        if (missing.empty())
+        {
+            missing = missing_soundness(cells);
+        }
         return record_of(move_state::not_done,
                          missing.empty() ? "time for the soak" : missing);
     }
@@ -254,8 +270,15 @@
 std::string version_move::find_regression(cell_sums const& cells) const
 {
     double const test_count =
-        2 * static_cast<double>(std::max(options_.max_cells, cells.size()));
+        2 * static_cast<double>(std::max(options_.max_cells, cells.size())) + 1;
     double const bound = std::log(test_count / options_.alpha);
+    test_evidence const all = sum_of(cells);
+    if (all.slow_log_mixture() > bound)
+    {
+        return fmt::format("much slower over all routes: {} answers of the new "
+                           "version",
+                           all.new_requests);
+    }
     for (auto const& [key, evidence] : cells)
     {
         if (evidence.failure_log_mixture() > bound)
@@ -272,11 +295,7 @@
 
 std::string version_move::missing_evidence(cell_sums const& cells) const
 {
-    std::uint64_t all_old_requests = 0;
-    for (auto const& [key, evidence] : cells)
-    {
-        all_old_requests += evidence.old_requests;
-    }
+    std::uint64_t const all_old_requests = sum_of(cells).old_requests;
     if (cells.empty())
     {
         return "no requests";
@@ -296,6 +315,35 @@
     return {};
 }
 
+// Why the new version is not yet shown to be sound; empty if it is.
+std::string version_move::missing_soundness(cell_sums const& cells) const
+{
+    test_evidence const all = sum_of(cells);
+    if (all.sound_log_mixture() < -std::log(options_.alpha))
+    {
+        return fmt::format("not shown to be fast enough by {} answers",
+                           all.new_requests);
+    }
+    std::map<std::string, test_evidence> routes;
+    for (auto const& [key, evidence] : cells)
+    {
+        routes[key.route].add(evidence);
+    }
+    for (auto const& [route, evidence] : routes)
+    {
+        bool const is_required =
+            static_cast<double>(evidence.old_requests) >=
+            options_.min_cell_share * static_cast<double>(all.old_requests);
+        if (is_required && evidence.sound_log_mixture() < 0)
+        {
+            return fmt::format(
+                "not shown to be fast enough on route {} by {} answers", route,
+                evidence.new_requests);
+        }
+    }
+    return {};
+}
+
 move_record version_move::record_of(move_state state, std::string reason) const
 {
     return {plan_.revision, static_cast<std::uint8_t>(state), stage_,
--- a/src/core/version_move.hpp
+++ b/src/core/version_move.hpp
@@ -7,15 +7,19 @@
 // The next stage begins only when its time has come and when the new version
 // has had enough requests in each (route, load band) that the old version
 // serves. The last stage leaves a few requests at the old version for
-// comparison during a soak time, after which the move is done. A move that is
-// unfinished at the deadline ends as not_done, with the reason.
+// comparison during a soak time, after which the move is done, provided that
+// the new version is shown not to be several times slower: over all routes with
+// probability 1 - alpha, and for each route that the old version serves by more
+// evidence for it than against. A move that is unfinished at the deadline ends
+// as not_done, with the reason.
 //
 // Evidence is a sequential test per cell (route, load band), summed over all
 // VMs. A VM at which it exceeds the bound rolls the move back at once and
 // appends this to the log. A rollback is final for the revision and overrides
-// every other record. The bound divides alpha by twice max_cells (two tests per
-// cell), so the probability that a good version is ever rolled back is at most
-// alpha.
+// every other record. A version that is much slower is found sooner by the sum
+// over all cells, which is tested as well. The bound divides alpha by the
+// number of tests, two per cell and one for the sum, so the probability that a
+// good version is ever rolled back is at most alpha.
 //
 // Exposure is bounded fleet-wide without coordination: each VM sends at most
 // the stage's share of its own requests to the new version, and only the holder
@@ -220,8 +224,10 @@
 
     sequential_test& cell(std::string const& route, load_band band);
     cell_sums merged_evidence() const;
+    static test_evidence sum_of(cell_sums const& cells);
     std::string find_regression(cell_sums const& cells) const;
     std::string missing_evidence(cell_sums const& cells) const;
+    std::string missing_soundness(cell_sums const& cells) const;
     std::optional<move_record> next_stage(time_point now);
     move_record record_of(move_state state, std::string reason) const;
     double elapsed(time_point now) const; // as a share of the time to the
