A stream that ends with its connection before its first event is broken off

A stream of which no event had come then ended as a whole, empty answer. a_stream_that_ends_with_its_connection/is_broken_off_before_its_ first_event failed before; a resumed stream may still have no event left.

--- a/src/core/event_relay.cpp
+++ b/src/core/event_relay.cpp
@@ -92,7 +92,8 @@
 
 bool event_relay::end_attempt(attempt_id attempt)
 {
-    return attempt != attempt_ || unfinished_.empty();
+    bool const has_begun = events_relayed_ > 0 || last_.has_value();
+    return attempt != attempt_ || (unfinished_.empty() && has_begun);
 }
 
 } // namespace amarantharch
