A stream cut inside an event is a sign of a crash, too

An engine that crashes may close its connections in order; a stream framed by the end of its connection then failed as stream_cut, and no crash was looked for. is_broken_off_inside_an_event and ..._before_its_first_event expect the check of the upstream and failed before.

--- a/src/core/broken_stream_test.cpp
+++ b/src/core/broken_stream_test.cpp
@@ -62,6 +62,10 @@
         {
             refusal_status = refused->why.status;
         }
+        if (auto const* check = std::get_if<check_upstream>(&what))
+        {
+            checked.push_back(check->upstream);
+        }
         ended = ended || std::holds_alternative<answer_end>(what);
     }
 
@@ -90,6 +94,7 @@
     time_point now = from_micros(1'000'000'000);
     attempt_id started = 0;
     std::optional<int> refusal_status;
+    std::vector<std::string> checked;
     bool ended = false;
     request_path path;
 };
@@ -113,6 +118,7 @@
     end();
     BOOST_TEST(!ended);
     BOOST_TEST(refusal_status.has_value());
+    BOOST_TEST(!checked.empty());
 }
 
 BOOST_AUTO_TEST_CASE(is_broken_off_before_its_first_event)
@@ -121,6 +127,7 @@
     end();
     BOOST_TEST(!ended);
     BOOST_TEST(refusal_status.has_value());
+    BOOST_TEST(!checked.empty());
 }
 
 BOOST_AUTO_TEST_CASE(may_have_no_event_left_if_it_was_resumed)
--- a/src/core/request_attempts.cpp
+++ b/src/core/request_attempts.cpp
@@ -19,6 +19,7 @@
 constexpr duration no_upstream_retry_after = std::chrono::seconds(1);
 constexpr std::string_view upstream_error = "upstream_error";
 constexpr std::string_view connect_failed = "connect_failed";
+constexpr std::string_view stream_cut = "stream_cut";
 // Time reserved for returning the answer to the caller.
 constexpr duration answer_return_time = std::chrono::milliseconds(5);
 // How long an upstream gets no requests after its address was found to belong
@@ -513,12 +514,12 @@
     if (r->token_relay &&
         r->token_relay->end_attempt(what.attempt) != relay_state::done)
     {
-        handle_failed_attempt(now, *r, verdict::ran, "stream_cut");
+        handle_failed_attempt(now, *r, verdict::ran, std::string(stream_cut));
         return;
     }
     if (r->sse_relay && !r->sse_relay->end_attempt(what.attempt))
     {
-        handle_failed_attempt(now, *r, verdict::ran, "stream_cut");
+        handle_failed_attempt(now, *r, verdict::ran, std::string(stream_cut));
         return;
     }
     outliers_.on_result(now, r->upstream, true, upstreams_);
@@ -593,7 +594,8 @@
         }
         return;
     }
-    if (reason != "connection_lost" && reason != "answer_cut")
+    if (reason != "connection_lost" && reason != "answer_cut" &&
+        reason != stream_cut)
     {
         return;
     }
