A quarantined request of one organisation does not stop another's

A request was identified by service, path and body. Lookups of one path all have the same body, so two crashes under one organisation's lookup would have had the lookups of all organisations refused. The organisation is part of the identity now; are_known_by_what_an_upstream_sees covers it.

--- a/src/core/quarantine.cpp
+++ b/src/core/quarantine.cpp
@@ -51,11 +51,13 @@
 
 } // namespace
 
-fingerprint fingerprint_of(std::string_view service, std::string_view method,
-                           std::string_view target, std::string_view body)
+fingerprint fingerprint_of(std::string_view service,
+                           std::string_view organisation,
+                           std::string_view method, std::string_view target,
+                           std::string_view body)
 {
     std::string bytes;
-    for (auto const part : {service, method, target})
+    for (auto const part : {service, organisation, method, target})
     {
         bytes.append(part);
         bytes.push_back('\0');
--- a/src/core/quarantine.hpp
+++ b/src/core/quarantine.hpp
@@ -1,11 +1,13 @@
 // Rejects requests that crash the upstreams that run them, fleet-wide, after
 // the second crash.
 //
-// A request is identified by its fingerprint, a digest of service, route and
-// body, so that it is recognised when it is sent again with another key or to
-// another VM. The crash of an upstream adds a mark to every request in flight
-// there; each becomes a suspect and is run alone from then on. A fingerprint is
-// quarantined after two crashes if either
+// A request is identified by its fingerprint, a digest of service,
+// organisation, route and body, so that it is recognised when it is sent again
+// with another key or to another VM. Lookups of one path all have the same
+// body, so those of another organisation must not share its fate. The crash of
+// an upstream adds a mark to every request in flight there; each becomes a
+// suspect and is run alone from then on. A fingerprint is quarantined after two
+// crashes if either
 //   - it was alone in one of them, or
 //   - it is the only one that was in both. This is evaluated only `settle_time`
 //     after the later crash, when the marks of all VMs have arrived; until then
@@ -49,8 +51,10 @@
 
 // The fingerprint of a request. Ignores white space outside of quoted strings,
 // as JSON does, but nothing else of the body.
-fingerprint fingerprint_of(std::string_view service, std::string_view method,
-                           std::string_view target, std::string_view body);
+fingerprint fingerprint_of(std::string_view service,
+                           std::string_view organisation,
+                           std::string_view method, std::string_view target,
+                           std::string_view body);
 
 // Identifies a crash: one process of one upstream.
 struct crash_id
--- a/src/core/quarantine_test.cpp
+++ b/src/core/quarantine_test.cpp
@@ -142,12 +142,14 @@
 {
     auto const print = [](std::string_view body)
     {
-        return fingerprint_of("s", "POST", "/v1/completions", body);
+        return fingerprint_of("s", "one", "POST", "/v1/completions", body);
     };
     BOOST_TEST(print(R"({"a": "x  y"})") == print("{\"a\":\n\"x  y\"}"));
     BOOST_TEST(print(R"({"a":"x  y"})") != print(R"({"a":"x y"})"));
     BOOST_TEST(print(R"({"a":"\" x"})") != print(R"({"a":"\"x"})"));
-    BOOST_TEST(print("a") != fingerprint_of("s", "POST", "/v1", "a"));
+    BOOST_TEST(print("a") != fingerprint_of("s", "one", "POST", "/v1", "a"));
+    BOOST_TEST(print("a") !=
+               fingerprint_of("s", "two", "POST", "/v1/completions", "a"));
 }
 
 BOOST_AUTO_TEST_CASE(take_no_more_memory_than_the_budget)
--- a/src/core/request_path.cpp
+++ b/src/core/request_path.cpp
@@ -282,8 +282,9 @@
     r.deadline =
         now + std::min(route->timeout,
                        request.metadata.time_limit.value_or(route->timeout));
-    r.request_fingerprint = fingerprint_of(route->service, request.method,
-                                           request.target, request.body);
+    r.request_fingerprint =
+        fingerprint_of(route->service, *organisation, request.method,
+                       request.target, request.body);
     body_bytes_ += request.body.size();
     if (route->event_stream)
     {
@@ -545,8 +546,9 @@
     }
     row& r = rows_[request.id];
     body_bytes_ += request.body.size();
-    r.request_fingerprint = fingerprint_of(route->service, request.method,
-                                           request.target, request.body);
+    r.request_fingerprint =
+        fingerprint_of(route->service, what.call.organisation, request.method,
+                       request.target, request.body);
     r.request = std::move(request);
     r.organisation = what.call.organisation;
     r.route = *route;
