A new version is on trial until shortly before the deadline

A version that became slow nine of fifteen seconds after the order was kept by 8 of 40 fleets (a_version_on_trial/that_becomes_slow_after_some_seconds_is_never_ kept): the move was done at 0.7 of the time. The soak now lasts 0.35 of it, and none keeps it.

--- a/src/core/ordered_moves.cpp
+++ b/src/core/ordered_moves.cpp
@@ -22,7 +22,7 @@
     options.min_new_requests = 5;
     options.min_cell_share = 0.1;
     // A share of the time to the deadline, so that the move ends before it.
-    options.soak_share = 0.2;
+    options.soak_share = 0.35;
     options.max_pulse_share = 0.05;
     return options;
 }
--- a/src/core/ordered_moves_test.cpp
+++ b/src/core/ordered_moves_test.cpp
@@ -80,10 +80,11 @@
 {
 public:
     // `slowness`: of the new version's answers against the old version's, on
-    // the routes from `first_slow_route` on.
-    fleet(std::uint64_t seed, double slowness, std::size_t first_slow_route = 0)
+    // the routes from `first_slow_route` on, once `slow_after` has passed.
+    fleet(std::uint64_t seed, double slowness, std::size_t first_slow_route,
+          duration slow_after)
         : random_(seed), slowness_(slowness),
-          first_slow_route_(first_slow_route)
+          first_slow_route_(first_slow_route), slow_since_(start + slow_after)
     {
         for (std::size_t i = 0; i < vm_count; ++i)
         {
@@ -138,7 +139,8 @@
         to_new_ += is_new ? 1 : 0;
         std::lognormal_distribution<double> spread(std::log(medians_ms[route]),
                                                    0.9);
-        bool const is_slow = is_new && route >= first_slow_route_;
+        bool const is_slow =
+            is_new && route >= first_slow_route_ && now_ >= slow_since_;
         double const took = spread(random_) * (is_slow ? slowness_ : 1);
         moves_[vm].on_answer(now_, std::to_string(route), choice,
                              duration(static_cast<std::int64_t>(took * 1'000)));
@@ -173,6 +175,7 @@
     std::mt19937_64 random_;
     double slowness_;
     std::size_t first_slow_route_;
+    time_point slow_since_;
     time_point now_ = start;
     std::vector<ordered_moves> ordered_;
     std::array<move_table, vm_count> moves_;
@@ -183,12 +186,13 @@
 constexpr std::uint64_t fleets = 40;
 
 // How many of the fleets keep the new version.
-int kept(double slowness, std::size_t first_slow_route = 0)
+int kept(double slowness, std::size_t first_slow_route = 0,
+         duration slow_after = duration::zero())
 {
     int result = 0;
     for (std::uint64_t seed = 1; seed <= fleets; ++seed)
     {
-        fleet subject(seed, slowness, first_slow_route);
+        fleet subject(seed, slowness, first_slow_route, slow_after);
         bool const is_kept = subject.run() == move_state::done;
         result += is_kept ? 1 : 0;
         BOOST_TEST((is_kept || subject.exposed() < 0.1), "seed " << seed);
@@ -213,6 +217,11 @@
     BOOST_TEST(kept(6, 2) == 0);
 }
 
+BOOST_AUTO_TEST_CASE(that_becomes_slow_after_some_seconds_is_never_kept)
+{
+    BOOST_TEST(kept(8, 0, seconds(9)) == 0);
+}
+
 // Its caches are empty at first, so it answers somewhat slower.
 BOOST_AUTO_TEST_CASE(that_is_good_is_kept_though_its_caches_are_empty)
 {
