--- a/src/core/event_relay.hpp
+++ b/src/core/event_relay.hpp
@@ -38,8 +38,8 @@
     // be cancelled: a gap, or an event over max_event_bytes.
     bool feed(attempt_id attempt, std::string_view bytes, std::string& out);
 
-    // The upstream's answer ended. Returns false if it was broken off: inside an
-    // event, or before the first event of a stream that was not resumed.
+    // The upstream's answer ended. Returns false if it was broken off: inside
+    // an event, or before the first event of a stream that was not resumed.
     bool end_attempt(attempt_id attempt);
 
     std::optional<std::uint64_t> last_event() const
