--- a/src/core/prompt_part_quarantine.cpp
+++ b/src/core/prompt_part_quarantine.cpp
@@ -40,6 +40,10 @@
 bool prompt_part_quarantine::may_send(time_point now,
                                       std::vector<prompt_part> const& prompt)
 {
+    if (rows_.empty())
+    {
+        return true;
+    }
     std::vector<row*> trials;
     for (auto const& [part, place] : suspect_parts(prompt))
     {
@@ -67,6 +71,10 @@
 prompt_part_quarantine::marks_of(std::vector<prompt_part> const& prompt) const
 {
     std::vector<part_clearance> result;
+    if (rows_.empty())
+    {
+        return result;
+    }
     for (auto const& [part, place] : suspect_parts(prompt))
     {
         auto const found = rows_.find(part);
