VMs that start are told which requests are refused

A VM that started after a request had been quarantined sent it twice more: it knew none of the marks (a_request_that_crashes_upstreams/is_not_sent_by_a_vm_that_has_ started_since, 4 arrivals where 2 were before). Each VM repeats the marks of what it refuses to two peers in turn every half second, as for prompt parts.

--- a/src/core/crashing_request_test.cpp
+++ b/src/core/crashing_request_test.cpp
@@ -80,6 +80,21 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(is_not_sent_by_a_vm_that_has_started_since)
+{
+    test::crash_world world({}, is_fatal);
+    send_lookups(world, seconds(10));
+    auto const before = world.of("fatal").arrivals.size();
+    world.restart_vm(0);
+    world.run(contact);
+    for (int i = 0; i < 10; ++i)
+    {
+        world.send(0, "fatal", lookup("/fatal"));
+        world.run(milliseconds(500));
+    }
+    BOOST_TEST(world.of("fatal").arrivals.size() == before);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(requests_whose_answers_are_lost)
--- a/src/core/peer_exchange.cpp
+++ b/src/core/peer_exchange.cpp
@@ -167,7 +167,7 @@
     if (now >= refusals_due_)
     {
         refusals_due_ = now + options_.refusals_interval;
-        send_refusals(members, requests);
+        send_refusals(now, members, requests);
     }
     peer_update handover;
     handover.handed_over = requests.take_handed_over();
@@ -209,13 +209,15 @@
     }
 }
 
-// Repeats which prompt parts are refused, for VMs that have started since.
-void peer_exchange::send_refusals(membership const& members,
+// Repeats which requests and prompt parts are refused, for VMs that have
+// started since.
+void peer_exchange::send_refusals(time_point now, membership const& members,
                                   request_path& requests)
 {
     peer_update update;
+    update.quarantined = requests.crash_quarantine().refused_state(now);
     update.quarantined_parts = requests.part_quarantine().refused_state();
-    if (!update.quarantined_parts.empty())
+    if (!update.quarantined.marks.empty() || !update.quarantined_parts.empty())
     {
         send(next_peers(members, options_.refusals_fanout, next_refusals_peer_),
              update);
--- a/src/core/peer_exchange.hpp
+++ b/src/core/peer_exchange.hpp
@@ -126,7 +126,8 @@
     void relay_configuration(time_point now, std::string const& from,
                              peer_update const& update);
     void ask_for_configuration(time_point now);
-    void send_refusals(membership const& members, request_path& requests);
+    void send_refusals(time_point now, membership const& members,
+                       request_path& requests);
     void read_loads(time_point now, upstream_table const& upstreams);
     void merge_quotas(time_point now, peer_message const& from,
                       peer_update const& update, request_path& requests);
--- a/src/core/quarantine.cpp
+++ b/src/core/quarantine.cpp
@@ -162,6 +162,20 @@
     return result;
 }
 
+quarantine_delta quarantine::refused_state(time_point now) const
+{
+    quarantine_delta result;
+    for (auto const& [request_fingerprint, r] : rows_)
+    {
+        if (decide(now, request_fingerprint) == quarantine_decision::refuse)
+        {
+            auto const marks = valid_marks(now, request_fingerprint);
+            result.marks.insert(result.marks.end(), marks.begin(), marks.end());
+        }
+    }
+    return result;
+}
+
 void quarantine::tick(time_point now)
 {
     for (auto found = rows_.begin(); found != rows_.end();)
--- a/src/core/quarantine.hpp
+++ b/src/core/quarantine.hpp
@@ -140,6 +140,9 @@
     // The whole state, for a VM that starts.
     quarantine_delta state() const;
 
+    // The marks of the requests that are refused.
+    quarantine_delta refused_state(time_point now) const;
+
     // Drops expired marks and clearances.
     void tick(time_point now);
 
