--- a/src/core/crash_detector.hpp
+++ b/src/core/crash_detector.hpp
@@ -105,7 +105,8 @@
         bool checked = false;
     };
 
-    crash_suspects conclude(std::map<upstream_index, group>::iterator);
+    // Removes the group of an upstream that has crashed.
+    crash_suspects conclude(std::map<upstream_index, group>::iterator crashed);
 
     crash_detector_options options_;
     std::map<upstream_index, group> groups_;
--- a/src/core/peer_exchange.cpp
+++ b/src/core/peer_exchange.cpp
@@ -182,6 +182,8 @@
     }
 }
 
+// Takes the part of a peer's message that is about the configuration, and
+// answers a request for this VM's.
 void peer_exchange::relay_configuration(time_point now, std::string const& from,
                                         peer_update const& update)
 {
--- a/src/core/version_evidence.cpp
+++ b/src/core/version_evidence.cpp
@@ -12,10 +12,10 @@
 // Ratios of new to old up to which the new version counts as not worse.
 constexpr double tolerated_failure_ratio = 1.5;
 constexpr double tolerated_latency_ratio = 1.15;
-// A new version is much slower beyond this, even with empty caches.
+// Empty caches alone don't make a new version slower than this.
 constexpr double slow_latency_ratio = 2;
-// A version is to be proved faster than this before it is kept.
-constexpr double several_times = 2.5;
+// A new version is kept only if it is shown to be less slow than this.
+constexpr double kept_latency_ratio = 2.5;
 
 constexpr std::array<double, failure_grid_size> failure_ratios{3, 8, 30, 150,
                                                                1'000};
@@ -161,7 +161,7 @@
                     evidence_.latency_log_wealth);
         bet_on_rank(rank_at(slow_latency_ratio), block,
                     evidence_.slow_log_wealth);
-        bet_on_rank(block - rank_at(several_times), block,
+        bet_on_rank(block - rank_at(kept_latency_ratio), block,
                     evidence_.sound_log_wealth);
     }
     old_answers_.erase(first, old_answers_.end());
--- a/src/core/version_evidence.hpp
+++ b/src/core/version_evidence.hpp
@@ -24,8 +24,8 @@
 // slower by more than `slow_latency_ratio`; empty caches alone do not make it
 // so, so it may be summed over routes. The other is the reverse: it bets on low
 // ranks under the null hypothesis that the new version is slower by
-// `several_times` or more, and so proves that it is not. Lack of evidence that
-// a version is bad is no evidence that it is good.
+// `kept_latency_ratio` or more, and so proves that it is not. Lack of evidence
+// that a version is bad is no evidence that it is good.
 //
 // Logarithms of wealth from independent evidence add up, so the evidence of
 // several VMs is merged by summing.
