--- a/src/core/crash_fixture_test.hpp
+++ b/src/core/crash_fixture_test.hpp
@@ -128,6 +128,19 @@
                   ->second);
     }
 
+    // Crashes this many upstreams at the same moment.
+    void crash_at_once(std::size_t count)
+    {
+        std::vector<upstream*> chosen;
+        for (auto& [name, row] : upstreams_)
+        {
+            chosen.push_back(&row);
+        }
+        std::ranges::shuffle(chosen, random_);
+        chosen.resize(std::min(count, chosen.size()));
+        std::ranges::for_each(chosen, [this](upstream* row) { crash(*row); });
+    }
+
     void run(duration span)
     {
         for (time_point const end = now_ + span; now_ < end;)
--- a/src/core/crashing_prompt_part_test.cpp
+++ b/src/core/crashing_prompt_part_test.cpp
@@ -200,6 +200,45 @@
 
 BOOST_AUTO_TEST_SUITE(engines_that_crash_for_other_reasons)
 
+// Parts in flight at many engines got as many marks at one moment, and were
+// refused to the end of the day.
+BOOST_AUTO_TEST_CASE(have_no_prompt_part_refused_though_many_crash_at_once)
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed)
+    {
+        test::crash_world_options options = engines(seed);
+        options.vms = 8;
+        options.upstreams = 40;
+        options.slots = 12;
+        test::crash_world world(options, has_fatal_part);
+        prompts make(world);
+        auto const send_for = [&](seconds span)
+        {
+            for (auto round = 0; round < span / milliseconds(20); ++round)
+            {
+                for (int i = 0; i < 6; ++i)
+                {
+                    std::uint64_t const first =
+                        first_part_base + world.pick(3);
+                    world.send(world.pick(options.vms), "sound",
+                               make.with(first, make.any_second()));
+                }
+                world.run(milliseconds(20));
+            }
+        };
+        send_for(seconds(3));
+        for (std::size_t const crashed : {8, 16, 12})
+        {
+            world.crash_at_once(crashed);
+            send_for(seconds(6));
+        }
+        auto const& sound = world.of("sound");
+        BOOST_TEST(sound.quarantined * 200 <= sound.sent,
+                   "seed " << seed << ": " << sound.quarantined << " of "
+                           << sound.sent);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(have_no_prompt_part_refused)
 {
     for (std::uint64_t seed = 1; seed <= 5; ++seed)
--- a/src/core/prompt_part_quarantine.cpp
+++ b/src/core/prompt_part_quarantine.cpp
@@ -67,6 +67,22 @@
     return true;
 }
 
+std::optional<part_refusal> prompt_part_quarantine::refusal_of(
+    time_point now, std::vector<prompt_part> const& prompt) const
+{
+    for (auto const& [part, place] : suspect_parts(prompt))
+    {
+        if (is_refused(part))
+        {
+            row const& r = rows_.at(part);
+            std::size_t const valid = valid_marks(r);
+            return part_refusal{part, valid, r.marks.size() - valid,
+                                now - r.last_mark_at};
+        }
+    }
+    return std::nullopt;
+}
+
 std::vector<part_clearance>
 prompt_part_quarantine::marks_of(std::vector<prompt_part> const& prompt) const
 {
--- a/src/core/prompt_part_quarantine.hpp
+++ b/src/core/prompt_part_quarantine.hpp
@@ -41,6 +41,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -98,6 +99,15 @@
     MSGPACK_DEFINE(crashes, clearances)
 };
 
+// Why a prompt is refused: a part and its marks.
+struct part_refusal
+{
+    std::uint64_t part = 0;
+    std::size_t valid_marks = 0;
+    std::size_t void_marks = 0;
+    duration since_last_mark{};
+};
+
 class prompt_part_quarantine
 {
 public:
@@ -129,6 +139,11 @@
     // The marks of all refused parts, for VMs that start.
     prompt_part_delta refused_state() const;
 
+    // The first part for which this prompt is refused; nothing if there is
+    // none.
+    std::optional<part_refusal>
+    refusal_of(time_point now, std::vector<prompt_part> const& prompt) const;
+
     // Whether the part is refused, but for trials.
     bool is_refused(std::uint64_t part) const;
 
--- a/src/core/request_attempts.cpp
+++ b/src/core/request_attempts.cpp
@@ -206,8 +206,7 @@
     }
     if (!part_quarantine_.may_send(now, r.request.metadata.prompt))
     {
-        refuse(now, r, options_.quarantined_status, "prompt_part_quarantined",
-               duration::zero());
+        refuse_for_prompt_part(now, r);
         return;
     }
     request_features features = features_of(r);
@@ -252,6 +251,21 @@
                         upstream_request(now, r)});
 }
 
+void request_path::refuse_for_prompt_part(time_point now, row& r)
+{
+    if (auto const why =
+            part_quarantine_.refusal_of(now, r.request.metadata.prompt))
+    {
+        add_timeline_entry(
+            "prompt_part_refused", r.request.id,
+            fmt::format("part={:x} marks={} void={} last_mark_ms={}", why->part,
+                        why->valid_marks, why->void_marks,
+                        to_millis(why->since_last_mark)));
+    }
+    refuse(now, r, options_.quarantined_status, "prompt_part_quarantined",
+           duration::zero());
+}
+
 request_path::row* request_path::row_of(attempt_id attempt)
 {
     auto const found = attempts_.find(attempt);
--- a/src/core/request_path.hpp
+++ b/src/core/request_path.hpp
@@ -327,6 +327,7 @@
                                           request_features& features);
     void record_version_outcome(time_point now, row& r, bool answered);
     bool refuse_if_quarantined(time_point now, row& r);
+    void refuse_for_prompt_part(time_point now, row& r);
     std::vector<upstream_index> exclusions_for(row const& r) const;
     void wait_for_upstream(time_point now, row& r);
     void detect_crash(time_point now, row const& r, std::string const& reason);
