Crashes of one moment are one sign against a prompt part

Cause: crashes with a common reason were counted as independent signs. Two marks now count as two only if the request at the later crash was sent after the earlier one (disjoint intervals from sending to crash, of at most 2 s). A part that does crash engines causes such a mark with each request that is sent. Ruled out: a full row (25 marks at most), new marks later (none after 13.3 s).

Tests changed: crashes in the fixture of prompt_part_quarantine_test now come one after the other, as marks of one moment are one; the case of late messages hears the refusals repeated, as ages grow stale with a late message, and a second VM that hears in time must refuse without that.

--- a/src/core/crash_detector.cpp
+++ b/src/core/crash_detector.cpp
@@ -26,8 +26,7 @@
                 .insert(row.request_fingerprint);
             if (!row.answer_begun)
             {
-                started.unanswered_parts.insert(row.parts.begin(),
-                                                row.parts.end());
+                add_suspects(started.unanswered_parts, row.parts, row.age);
             }
         }
         found = groups_.insert_or_assign(upstream, std::move(started)).first;
@@ -72,7 +71,8 @@
 {
     group lost = std::move(crashed->second);
     groups_.erase(crashed);
-    return {lost.unanswered.empty() ? std::move(lost.begun)
+    return {lost.since,
+            lost.unanswered.empty() ? std::move(lost.begun)
                                     : std::move(lost.unanswered),
             std::move(lost.unanswered_parts)};
 }
--- a/src/core/crash_detector.hpp
+++ b/src/core/crash_detector.hpp
@@ -46,14 +46,16 @@
     fingerprint request_fingerprint = 0;
     bool answer_begun = false; // the caller has got a part of the answer
     prompt_places parts = {};  // of its prompt
+    duration age{};            // since it was sent
 };
 
 // What may have crashed an upstream.
 struct crash_suspects
 {
+    time_point lost_at; // of the first connection
     std::set<fingerprint> requests;
     // Of the prompts of requests without an answer.
-    prompt_places parts;
+    suspect_parts_in_flight parts;
 };
 
 using attempts_in_flight = std::map<attempt_id, attempt_in_flight>;
@@ -99,7 +101,8 @@
         time_point since;
         std::set<attempt_id> missing; // attempts not lost yet
         std::set<fingerprint> unanswered;
-        prompt_places unanswered_parts;
+        // In flight as long as at the first loss.
+        suspect_parts_in_flight unanswered_parts;
         std::set<fingerprint> begun;
         bool survivor = false; // an attempt of the group was not lost
         bool checked = false;
--- a/src/core/crashing_prompt_part_test.cpp
+++ b/src/core/crashing_prompt_part_test.cpp
@@ -151,6 +151,8 @@
                       [&]
                       { return make.with(first_part_base, second_part_base); });
         send_requests(world, make, seconds(20), fatal);
+        BOOST_TEST_MESSAGE("seed " << seed << ": " << world.crashes().size()
+                                   << " crashes");
         BOOST_TEST(late_arrivals(world) <= allowed_arrivals, "seed " << seed);
         BOOST_TEST(served_share(world, make, "near", fatal) > 0.9,
                    "seed " << seed);
@@ -170,6 +172,8 @@
             return make.with(fatal_part, make.any_second());
         };
         send_requests(world, make, seconds(20), fatal);
+        BOOST_TEST_MESSAGE("seed " << seed << ": " << world.crashes().size()
+                                   << " crashes");
         BOOST_TEST(late_arrivals(world) <= allowed_arrivals, "seed " << seed);
         BOOST_TEST(served_share(world, make, "sound", fatal) > 0.9,
                    "seed " << seed);
@@ -218,8 +222,7 @@
             {
                 for (int i = 0; i < 6; ++i)
                 {
-                    std::uint64_t const first =
-                        first_part_base + world.pick(3);
+                    std::uint64_t const first = first_part_base + world.pick(3);
                     world.send(world.pick(options.vms), "sound",
                                make.with(first, make.any_second()));
                 }
--- a/src/core/peer_exchange.cpp
+++ b/src/core/peer_exchange.cpp
@@ -151,7 +151,7 @@
     {
         peer_update urgent;
         urgent.quarantined = requests.crash_quarantine().take_changes();
-        urgent.quarantined_parts = requests.part_quarantine().take_changes();
+        urgent.quarantined_parts = requests.part_quarantine().take_changes(now);
         urgent.leaving_upstreams = requests.take_found_leaving();
         bool const any = !urgent.quarantined.marks.empty() ||
                          !urgent.quarantined.clearances.empty() ||
@@ -218,7 +218,7 @@
 {
     peer_update update;
     update.quarantined = requests.crash_quarantine().refused_state(now);
-    update.quarantined_parts = requests.part_quarantine().refused_state();
+    update.quarantined_parts = requests.part_quarantine().refused_state(now);
     if (!update.quarantined.marks.empty() || !update.quarantined_parts.empty())
     {
         send(next_peers(members, options_.refusals_fanout, next_refusals_peer_),
--- a/src/core/prompt_part_quarantine.cpp
+++ b/src/core/prompt_part_quarantine.cpp
@@ -25,6 +25,18 @@
     return places;
 }
 
+void add_suspects(suspect_parts_in_flight& into, prompt_places const& parts,
+                  duration in_flight)
+{
+    for (auto const& [part, place] : parts)
+    {
+        auto const [found, is_new] = into.try_emplace(part);
+        suspect_part& suspect = found->second;
+        suspect.place = is_new ? place : std::min(suspect.place, place);
+        suspect.in_flight = std::max(suspect.in_flight, in_flight);
+    }
+}
+
 std::uint64_t crash_number(crash_id const& crash)
 {
     return XXH3_64bits_withSeed(crash.upstream.data(), crash.upstream.size(),
@@ -67,8 +79,9 @@
     return true;
 }
 
-std::optional<part_refusal> prompt_part_quarantine::refusal_of(
-    time_point now, std::vector<prompt_part> const& prompt) const
+std::optional<part_refusal>
+prompt_part_quarantine::refusal_of(time_point now,
+                                   std::vector<prompt_part> const& prompt) const
 {
     for (auto const& [part, place] : suspect_parts(prompt))
     {
@@ -115,9 +128,16 @@
 }
 
 void prompt_part_quarantine::crashed(time_point now, crash_id const& crash,
-                                     prompt_places const& parts)
+                                     suspect_parts_in_flight const& parts)
 {
-    merge(now, {{{crash_number(crash), parts}}, {}});
+    part_crash seen;
+    seen.crash = crash_number(crash);
+    for (auto const& [part, suspect] : parts)
+    {
+        seen.parts.emplace(part, suspect.place);
+        seen.in_flight_us.emplace(part, suspect.in_flight.count());
+    }
+    merge(now, {{std::move(seen)}, {}});
 }
 
 void prompt_part_quarantine::answered(time_point now,
@@ -131,17 +151,14 @@
 {
     for (part_crash const& crash : delta.crashes)
     {
-        part_crash added{crash.crash, {}};
-        for (auto const& [part, place] : crash.parts)
-        {
-            if (add(now, crash.crash, part, place))
-            {
-                added.parts.emplace(part, place);
-            }
-        }
+        part_crash added = crash;
+        std::erase_if(added.parts, [&](auto const& each)
+                      { return !add(now, crash, each.first, each.second); });
+        std::erase_if(added.in_flight_us, [&](auto const& each)
+                      { return !added.parts.contains(each.first); });
         if (!added.parts.empty())
         {
-            changes_.crashes.push_back(std::move(added));
+            new_crashes_.push_back({now, std::move(added)});
         }
     }
     for (part_clearance const& clearance : delta.clearances)
@@ -156,18 +173,25 @@
         }
         if (!cleared.crashes.empty())
         {
-            changes_.clearances.push_back(std::move(cleared));
+            new_clearances_.push_back(std::move(cleared));
         }
     }
     evict_oldest_parts();
 }
 
-prompt_part_delta prompt_part_quarantine::take_changes()
+prompt_part_delta prompt_part_quarantine::take_changes(time_point now)
 {
-    return std::exchange(changes_, {});
+    prompt_part_delta changes;
+    for (new_crash& each : std::exchange(new_crashes_, {}))
+    {
+        each.crash.age_us += (now - each.added_at).count();
+        changes.crashes.push_back(std::move(each.crash));
+    }
+    changes.clearances = std::exchange(new_clearances_, {});
+    return changes;
 }
 
-prompt_part_delta prompt_part_quarantine::refused_state() const
+prompt_part_delta prompt_part_quarantine::refused_state(time_point now) const
 {
     prompt_part_delta state;
     for (auto const& [part, r] : rows_)
@@ -180,24 +204,45 @@
         {
             if (!each.is_void)
             {
-                state.crashes.push_back({crash, {{part, r.place}}});
+                state.crashes.push_back(
+                    {crash,
+                     {{part, r.place}},
+                     (now - each.crashed_at).count(),
+                     {{part, (each.crashed_at - each.sent_at).count()}}});
             }
         }
     }
     return state;
 }
 
-bool prompt_part_quarantine::add(time_point now, std::uint64_t crash,
+bool prompt_part_quarantine::add(time_point now, part_crash const& crash,
                                  std::uint64_t part, std::uint32_t place)
 {
     auto const [found, is_new] = rows_.try_emplace(part);
     row& r = found->second;
     r.place = is_new ? place : std::min(r.place, place);
-    if (r.marks.size() >= options_.max_marks_per_part ||
-        !r.marks.try_emplace(crash, mark{now}).second)
+    time_point const crashed_at =
+        now - std::clamp(duration(crash.age_us), duration::zero(),
+                         options_.retention);
+    auto const interval = crash.in_flight_us.find(part);
+    duration const in_flight =
+        interval == crash.in_flight_us.end()
+            ? options_.max_interval
+            : std::clamp(duration(interval->second), duration::zero(),
+                         options_.max_interval);
+    if (auto const known = r.marks.find(crash.crash); known != r.marks.end())
     {
+        // The report with the least delay is the most accurate one.
+        mark& each = known->second;
+        each.crashed_at = std::min(each.crashed_at, crashed_at);
+        each.sent_at = std::min(each.sent_at, crashed_at - in_flight);
         return false;
     }
+    if (r.marks.size() >= options_.max_marks_per_part)
+    {
+        return false;
+    }
+    r.marks.emplace(crash.crash, mark{now, crashed_at, crashed_at - in_flight});
     r.last_mark_at = now;
     return true;
 }
@@ -212,7 +257,8 @@
     {
         return false;
     }
-    mark& cleared = r.marks.try_emplace(crash, mark{now}).first->second;
+    mark& cleared =
+        r.marks.try_emplace(crash, mark{now, now, now}).first->second;
     return !std::exchange(cleared.is_void, true);
 }
 
@@ -220,7 +266,8 @@
 {
     auto const found = rows_.find(part);
     if (found == rows_.end() ||
-        valid_marks(found->second) < options_.min_crashes)
+        valid_marks(found->second) < options_.min_crashes ||
+        independent_crashes(found->second) < options_.min_crashes)
     {
         return false;
     }
@@ -261,6 +308,30 @@
         r.marks, [](auto const& each) { return !each.second.is_void; }));
 }
 
+std::size_t prompt_part_quarantine::independent_crashes(row const& r) const
+{
+    std::vector<mark const*> valid;
+    for (auto const& [crash, each] : r.marks)
+    {
+        if (!each.is_void)
+        {
+            valid.push_back(&each);
+        }
+    }
+    std::ranges::sort(valid, {}, &mark::crashed_at);
+    std::size_t count = 0;
+    time_point next_sending{}; // of a request at the next crash that counts
+    for (mark const* const each : valid)
+    {
+        if (count == 0 || each->sent_at >= next_sending)
+        {
+            ++count;
+            next_sending = each->crashed_at + options_.min_separation;
+        }
+    }
+    return count;
+}
+
 time_point prompt_part_quarantine::next_trial(std::uint64_t part,
                                               row const& r) const
 {
--- a/src/core/prompt_part_quarantine.hpp
+++ b/src/core/prompt_part_quarantine.hpp
@@ -9,14 +9,24 @@
 // Algorithm. A crash marks the parts of all requests that were in flight at the
 // engine without an answer. An engine that begins to answer a request has
 // survived its parts: that voids the marks that this VM knew of when it sent
-// the request, wherever they came from. A part is refused while it has
-// `min_crashes` valid marks, unless another part explains these crashes better:
-// one that was in all of them and in more, or in the same ones and at a later
-// place, which fewer requests share.
+// the request, wherever they came from. A part is refused while it has marks of
+// `min_crashes` independent crashes, unless another part explains these crashes
+// better: one that was in all of them and in more, or in the same ones and at a
+// later place, which fewer requests share.
+//
+// Many engines that crash at one moment, as with the loss of a rack, are one
+// sign and not many: whatever was in flight then is marked at several of them.
+// Two crashes are independent signs about a part if its request at the later
+// one was sent after the earlier one. Each mark therefore holds the interval
+// from the sending of the request to the crash, of at most `max_interval`, and
+// the number of independent crashes is the greatest number of marks whose
+// intervals are disjoint (interval scheduling by earliest end). VMs send each
+// other ages and lengths of intervals, as their clocks may differ.
 //
 // Why it finds the right part: the fatal part is in every crash that it causes
 // and its marks are never voided, so no part has marks of these crashes that it
-// has not, and it is not refused for another. A sound part loses its marks with
+// has not, and it is not refused for another. Each of its requests that is sent
+// after a crash causes an independent one. A sound part loses its marks with
 // the next answer. While a part has fewer than `certain_crashes` marks, each VM
 // lets a request through as a trial now and then, so that a sound part that is
 // refused by chance gets its answer. Trials wait `trial_interval` from the last
@@ -51,8 +61,12 @@
 struct prompt_part_quarantine_options
 {
     std::string vm;
-    std::size_t min_crashes = 3;
+    std::size_t min_crashes = 3; // independent ones
     std::size_t certain_crashes = 5;
+    // Longest time before a crash in which another one counts with it as one.
+    duration max_interval = std::chrono::seconds(2);
+    // Between a crash and a sending after it, for the delay of messages.
+    duration min_separation = std::chrono::milliseconds(100);
     duration trial_interval = std::chrono::seconds(2);
     // Trials of different VMs are spread over this many intervals.
     std::uint32_t trial_turns = 8;
@@ -67,15 +81,32 @@
 // The parts of a prompt that may be suspected: all but the last.
 prompt_places suspect_parts(std::vector<prompt_part> const& prompt);
 
+// A part that was in flight at a crash.
+struct suspect_part
+{
+    std::uint32_t place = 0; // the earliest in any prompt
+    // Since the first request with it was sent to the engine.
+    duration in_flight{};
+};
+
+using suspect_parts_in_flight = std::map<std::uint64_t, suspect_part>;
+
+// Adds the parts of a request that was in flight for so long.
+void add_suspects(suspect_parts_in_flight& into, prompt_places const& parts,
+                  duration in_flight);
+
 // Identifies a crash in messages; equal at all VMs.
 std::uint64_t crash_number(crash_id const& crash);
 
-// Parts that were in flight without an answer at a crash.
+// Parts that were in flight without an answer at a crash. VMs of earlier
+// versions send neither times; such marks count like one crash only.
 struct part_crash
 {
     std::uint64_t crash = 0;
     prompt_places parts;
-    MSGPACK_DEFINE(crash, parts)
+    std::int64_t age_us = 0; // since the crash was seen
+    std::map<std::uint64_t, std::int64_t> in_flight_us; // by part
+    MSGPACK_DEFINE(crash, parts, age_us, in_flight_us)
 };
 
 // Marks of one part that are void, by their crashes.
@@ -124,7 +155,7 @@
 
     // An engine crashed with these parts in flight at this VM.
     void crashed(time_point now, crash_id const& crash,
-                 prompt_places const& parts);
+                 suspect_parts_in_flight const& parts);
 
     // An engine has begun to answer a request for which marks_of gave `marks`.
     void answered(time_point now, std::vector<part_clearance> const& marks);
@@ -134,10 +165,10 @@
     void merge(time_point now, prompt_part_delta const& delta);
 
     // Returns the changes since the last call, to be sent to peers at once.
-    prompt_part_delta take_changes();
+    prompt_part_delta take_changes(time_point now);
 
     // The marks of all refused parts, for VMs that start.
-    prompt_part_delta refused_state() const;
+    prompt_part_delta refused_state(time_point now) const;
 
     // The first part for which this prompt is refused; nothing if there is
     // none.
@@ -160,6 +191,8 @@
     struct mark
     {
         time_point known_since;
+        time_point crashed_at;
+        time_point sent_at; // the part's request; at most max_interval before
         bool is_void = false;
     };
 
@@ -171,18 +204,27 @@
         time_point last_trial_at;
     };
 
-    bool add(time_point now, std::uint64_t crash, std::uint64_t part,
+    struct new_crash
+    {
+        time_point added_at; // its age is as of then
+        part_crash crash;
+    };
+
+    bool add(time_point now, part_crash const& crash, std::uint64_t part,
              std::uint32_t place);
     bool clear(time_point now, std::uint64_t part, std::uint64_t crash);
     bool explains_better(std::uint64_t other, row const& other_row,
                          std::uint64_t part, row const& part_row) const;
     static std::size_t valid_marks(row const& r);
+    std::size_t independent_crashes(row const& r) const;
     time_point next_trial(std::uint64_t part, row const& r) const;
     void evict_oldest_parts();
 
     prompt_part_quarantine_options options_;
     std::map<std::uint64_t, row> rows_; // by part
-    prompt_part_delta changes_;
+    // New since the last take_changes().
+    std::vector<new_crash> new_crashes_;
+    std::vector<part_clearance> new_clearances_;
     time_point next_expiry_{};
 };
 
--- a/src/core/prompt_part_quarantine_test.cpp
+++ b/src/core/prompt_part_quarantine_test.cpp
@@ -44,24 +44,33 @@
         return result;
     }
 
-    // Crashes `count` engines with a request of each of these second parts in
-    // flight.
+    // Crashes `count` engines, one after the other, each with a request of each
+    // of these second parts in flight that was sent after the crash before.
     void crash_engines(std::uint64_t count,
                        std::vector<std::uint64_t> const& seconds_in_flight)
     {
         for (std::uint64_t i = 0; i < count; ++i)
         {
-            prompt_places parts;
-            for (std::uint64_t const second : seconds_in_flight)
-            {
-                parts.merge(suspect_parts(prompt(second)));
-            }
-            subject.crashed(start, crash(++crashes), parts);
+            now += milliseconds(300);
+            crash_engine(seconds_in_flight, milliseconds(150));
         }
     }
 
+    // Crashes an engine with requests in flight for so long.
+    void crash_engine(std::vector<std::uint64_t> const& seconds_in_flight,
+                      duration in_flight)
+    {
+        suspect_parts_in_flight parts;
+        for (std::uint64_t const second : seconds_in_flight)
+        {
+            add_suspects(parts, suspect_parts(prompt(second)), in_flight);
+        }
+        subject.crashed(now, crash(++crashes), parts);
+    }
+
     prompt_part_quarantine subject;
     std::uint64_t crashes = 0;
+    time_point now = start;
 };
 
 } // namespace
@@ -71,9 +80,9 @@
 BOOST_FIXTURE_TEST_CASE(is_refused_after_the_third_crash, quarantined_parts)
 {
     crash_engines(2, {fatal});
-    BOOST_TEST(subject.may_send(start, prompt(fatal)));
+    BOOST_TEST(subject.may_send(now, prompt(fatal)));
     crash_engines(1, {fatal});
-    BOOST_TEST(!subject.may_send(start, prompt(fatal)));
+    BOOST_TEST(!subject.may_send(now, prompt(fatal)));
 }
 
 BOOST_FIXTURE_TEST_CASE(is_refused_for_the_rest_of_its_prompt_only,
@@ -82,7 +91,7 @@
     crash_engines(3, {fatal});
     BOOST_TEST(subject.is_refused(fatal));
     BOOST_TEST(!subject.is_refused(shared));
-    BOOST_TEST(subject.may_send(start, prompt(sound)));
+    BOOST_TEST(subject.may_send(now, prompt(sound)));
 }
 
 BOOST_FIXTURE_TEST_CASE(is_never_the_last_one, quarantined_parts)
@@ -114,20 +123,48 @@
 {
     for (int i = 0; i < 5; ++i)
     {
-        subject.crashed(start, crash(1), suspect_parts(prompt(fatal)));
+        suspect_parts_in_flight parts;
+        add_suspects(parts, suspect_parts(prompt(fatal)), milliseconds(150));
+        now += seconds(1);
+        subject.crashed(now, crash(1), parts);
     }
     BOOST_TEST(!subject.is_refused(fatal));
 }
 
+BOOST_FIXTURE_TEST_CASE(counts_crashes_of_one_moment_once, quarantined_parts)
+{
+    crash_engines(1, {fatal});
+    now += milliseconds(300);
+    for (int i = 0; i < 20; ++i)
+    {
+        crash_engine({fatal}, milliseconds(10) * i);
+        now += milliseconds(2);
+    }
+    BOOST_TEST(!subject.is_refused(fatal));
+    crash_engines(1, {fatal});
+    BOOST_TEST(subject.is_refused(fatal));
+}
+
+BOOST_FIXTURE_TEST_CASE(counts_crashes_whose_requests_waited_long_by_their_time,
+                        quarantined_parts)
+{
+    for (int i = 0; i < 3; ++i)
+    {
+        now += seconds(3);
+        crash_engine({fatal}, seconds(60));
+    }
+    BOOST_TEST(subject.is_refused(fatal));
+}
+
 BOOST_AUTO_TEST_SUITE(and_then_in_an_answer)
 
 BOOST_FIXTURE_TEST_CASE(is_free_again, quarantined_parts)
 {
     crash_engines(2, {sound});
     auto const marks = subject.marks_of(prompt(sound));
-    subject.answered(start, marks);
+    subject.answered(now, marks);
     crash_engines(2, {sound});
-    BOOST_TEST(subject.may_send(start, prompt(sound)));
+    BOOST_TEST(subject.may_send(now, prompt(sound)));
 }
 
 BOOST_FIXTURE_TEST_CASE(keeps_the_marks_that_came_after_it_was_sent,
@@ -135,7 +172,7 @@
 {
     auto const marks = subject.marks_of(prompt(fatal));
     crash_engines(3, {fatal});
-    subject.answered(start, marks);
+    subject.answered(now, marks);
     BOOST_TEST(subject.is_refused(fatal));
 }
 
@@ -147,20 +184,20 @@
                         quarantined_parts)
 {
     crash_engines(3, {fatal});
-    BOOST_TEST(!subject.may_send(start + milliseconds(1'999), prompt(fatal)));
-    time_point const later = start + seconds(16);
+    BOOST_TEST(!subject.may_send(now + milliseconds(1'999), prompt(fatal)));
+    time_point const later = now + seconds(16);
     BOOST_TEST(subject.may_send(later, prompt(fatal)));
     BOOST_TEST(!subject.may_send(later + milliseconds(1), prompt(fatal)));
     crash_engines(2, {fatal});
-    BOOST_TEST(!subject.may_send(start + minutes(5), prompt(fatal)));
+    BOOST_TEST(!subject.may_send(now + minutes(5), prompt(fatal)));
 }
 
 BOOST_FIXTURE_TEST_CASE(is_forgotten_at_last, quarantined_parts)
 {
     crash_engines(5, {fatal});
-    subject.tick(start + minutes(10) + seconds(1));
+    subject.tick(now + minutes(10) + seconds(1));
     BOOST_TEST(subject.size() == 0u);
-    BOOST_TEST(subject.may_send(start + minutes(11), prompt(fatal)));
+    BOOST_TEST(subject.may_send(now + minutes(11), prompt(fatal)));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
@@ -171,31 +208,39 @@
                         quarantined_parts)
 {
     prompt_part_quarantine other(options("other"));
+    prompt_part_quarantine hears_at_once(options("another"));
     crash_engines(2, {fatal, sound});
-    prompt_part_delta const first = subject.take_changes();
-    subject.answered(start, subject.marks_of(prompt(sound)));
+    prompt_part_delta const first = subject.take_changes(now);
+    hears_at_once.merge(now, first);
+    subject.answered(now, subject.marks_of(prompt(sound)));
     crash_engines(1, {fatal});
-    prompt_part_delta const second = subject.take_changes();
-    for (prompt_part_delta const& delta : {second, first, second, first})
+    prompt_part_delta const second = subject.take_changes(now);
+    hears_at_once.merge(now, second);
+    BOOST_TEST(hears_at_once.is_refused(fatal));
+    // Messages that are late make crashes look later than they were; refusals
+    // are repeated.
+    prompt_part_delta const repeated = subject.refused_state(now);
+    for (prompt_part_delta const& delta :
+         {second, first, repeated, second, first})
     {
-        other.merge(start, delta);
+        other.merge(now, delta);
     }
     BOOST_TEST(other.is_refused(fatal));
     BOOST_TEST(!other.is_refused(sound));
     BOOST_TEST(other.marks_of(prompt(sound)).size() ==
                subject.marks_of(prompt(sound)).size());
-    BOOST_TEST(!other.take_changes().empty());
-    other.merge(start, first);
-    BOOST_TEST(other.take_changes().empty());
+    BOOST_TEST(!other.take_changes(now).empty());
+    other.merge(now, first);
+    BOOST_TEST(other.take_changes(now).empty());
 }
 
 BOOST_FIXTURE_TEST_CASE(is_refused_at_one_that_starts_later, quarantined_parts)
 {
     crash_engines(5, {fatal});
     prompt_part_quarantine other(options("other"));
-    other.merge(start, subject.refused_state());
-    BOOST_TEST(!other.may_send(start + minutes(1), prompt(fatal)));
-    BOOST_TEST(other.may_send(start + minutes(1), prompt(sound)));
+    other.merge(now, subject.refused_state(now));
+    BOOST_TEST(!other.may_send(now + minutes(1), prompt(fatal)));
+    BOOST_TEST(other.may_send(now + minutes(1), prompt(sound)));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/core/request_attempts.cpp
+++ b/src/core/request_attempts.cpp
@@ -620,7 +620,8 @@
         if (other.upstream == r.upstream)
         {
             in_flight[attempt] = {other.request_fingerprint, other.answer_begun,
-                                  suspect_parts(other.request.metadata.prompt)};
+                                  suspect_parts(other.request.metadata.prompt),
+                                  now - other.attempt_started};
         }
     }
     add_timeline_entry(
@@ -669,7 +670,7 @@
     crash_id const crash{crashed.profile.name, incarnation};
     quarantine_.crashed(now, crash, suspects.requests,
                         reserved_.contains(upstream));
-    part_quarantine_.crashed(now, crash, suspects.parts);
+    part_quarantine_.crashed(suspects.lost_at, crash, suspects.parts);
     add_timeline_entry(
         "upstream_crashed", "",
         fmt::format("upstream={} incarnation={} requests={} parts={}",
