Upstreams that crash at one moment are one sign against a request

Two crashes now count as two only if the request was sent to the later upstream after the earlier one had crashed, or two seconds lie between them. A request that does crash upstreams is sent again after its first crash, so it is still found at its second, or at its third where two VMs sent it at the same time.

--- a/src/core/crash_detector.cpp
+++ b/src/core/crash_detector.cpp
@@ -1,5 +1,6 @@
 #include "core/crash_detector.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace amarantharch
@@ -22,8 +23,11 @@
         for (auto const& [id, row] : in_flight)
         {
             started.missing.insert(id);
-            (row.answer_begun ? started.begun : started.unanswered)
-                .insert(row.request_fingerprint);
+            duration& longest =
+                (row.answer_begun
+                     ? started.begun
+                     : started.unanswered)[row.request_fingerprint];
+            longest = std::max(longest, row.age);
             if (!row.answer_begun)
             {
                 add_suspects(started.unanswered_parts, row.parts, row.age);
--- a/src/core/crash_detector.hpp
+++ b/src/core/crash_detector.hpp
@@ -53,7 +53,7 @@
 struct crash_suspects
 {
     time_point lost_at; // of the first connection
-    std::set<fingerprint> requests;
+    suspect_requests requests;
     // Of the prompts of requests without an answer.
     suspect_parts_in_flight parts;
 };
@@ -100,10 +100,10 @@
     {
         time_point since;
         std::set<attempt_id> missing; // attempts not lost yet
-        std::set<fingerprint> unanswered;
+        suspect_requests unanswered;
         // In flight as long as at the first loss.
         suspect_parts_in_flight unanswered_parts;
-        std::set<fingerprint> begun;
+        suspect_requests begun;
         bool survivor = false; // an attempt of the group was not lost
         bool checked = false;
     };
--- a/src/core/crashing_request_test.cpp
+++ b/src/core/crashing_request_test.cpp
@@ -115,4 +115,38 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(upstreams_that_crash_at_once)
+
+// A lookup that many send was in flight at each of them.
+BOOST_AUTO_TEST_CASE(have_no_popular_request_refused_afterwards)
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed)
+    {
+        test::crash_world world(
+            {.upstreams = 8, .first_byte = milliseconds(100), .seed = seed},
+            is_fatal);
+        auto const send_for = [&](seconds span)
+        {
+            for (auto round = 0; round < span / milliseconds(20); ++round)
+            {
+                world.send(world.pick(4), "popular", lookup("/popular"));
+                world.run(milliseconds(20));
+            }
+        };
+        send_for(seconds(3));
+        world.crash_at_once(4);
+        send_for(seconds(5));
+        auto const before = world.of("popular");
+        send_for(seconds(10));
+        auto const after = world.of("popular");
+        BOOST_TEST(after.answered - before.answered >=
+                       (after.sent - before.sent) * 9 / 10,
+                   "seed " << seed << ": " << after.answered - before.answered
+                           << " of " << after.sent - before.sent
+                           << " answered, " << after.quarantined << " refused");
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 } // namespace amarantharch
--- a/src/core/quarantine.cpp
+++ b/src/core/quarantine.cpp
@@ -76,7 +76,14 @@
     {
         return quarantine_decision::run;
     }
-    if (marks.size() == 1)
+    bool const some_independent = std::ranges::any_of(
+        marks,
+        [&](crash_mark const& a)
+        {
+            return std::ranges::any_of(marks, [&](crash_mark const& b)
+                                       { return are_independent(a, b); });
+        });
+    if (!some_independent)
     {
         return quarantine_decision::run_alone;
     }
@@ -98,7 +105,8 @@
     {
         for (auto const& b : marks)
         {
-            if (a.crash < b.crash && is_only_common_suspect(now, a, b))
+            if (a.crash < b.crash && are_independent(a, b) &&
+                is_only_common_suspect(now, a, b))
             {
                 return quarantine_decision::refuse;
             }
@@ -108,12 +116,13 @@
 }
 
 void quarantine::crashed(time_point now, crash_id const& crash,
-                         std::set<fingerprint> const& in_flight, bool reserved)
+                         suspect_requests const& in_flight, bool reserved)
 {
     bool const alone = reserved && in_flight.size() == 1;
-    for (auto const request_fingerprint : in_flight)
+    for (auto const& [request_fingerprint, since_sent] : in_flight)
     {
-        add(now, crash_mark{request_fingerprint, crash, alone, to_micros(now)});
+        add(now, crash_mark{request_fingerprint, crash, alone, to_micros(now),
+                            since_sent.count()});
     }
 }
 
@@ -209,8 +218,10 @@
     auto const before = merged;
     merged.alone = merged.alone || mark.alone;
     merged.time_us = std::min(merged.time_us, mark.time_us);
+    merged.in_flight_us = std::max(merged.in_flight_us, mark.in_flight_us);
     if (!added && before.alone == merged.alone &&
-        before.time_us == merged.time_us)
+        before.time_us == merged.time_us &&
+        before.in_flight_us == merged.in_flight_us)
     {
         return false;
     }
@@ -266,6 +277,15 @@
     return mark.alone && crashes_.at(mark.crash).size() == 1;
 }
 
+bool quarantine::are_independent(crash_mark const& a, crash_mark const& b) const
+{
+    crash_mark const& earlier = a.time_us <= b.time_us ? a : b;
+    crash_mark const& later = a.time_us <= b.time_us ? b : a;
+    std::int64_t const interval = std::clamp<std::int64_t>(
+        later.in_flight_us, 0, options_.max_interval.count());
+    return later.time_us - interval > earlier.time_us;
+}
+
 // Whether no other suspect was in both crashes.
 bool quarantine::is_only_common_suspect(time_point now, crash_mark const& a,
                                         crash_mark const& b) const
--- a/src/core/quarantine.hpp
+++ b/src/core/quarantine.hpp
@@ -9,9 +9,12 @@
 // suspect and is run alone from then on. A fingerprint is quarantined after two
 // crashes if either
 //   - it was alone in one of them, or
-//   - it is the only one that was in both. This is evaluated only `settle_time`
-//     after the later crash, when the marks of all VMs have arrived; until then
-//     the request is held.
+//   - it is the only one that was in both, and at the later one it was sent
+//     after the earlier one. This is evaluated only `settle_time` after the
+//     later crash, when the marks of all VMs have arrived; until then the
+//     request is held.
+// Upstreams that crash at one moment, as with the loss of a rack, are one sign
+// and not several: a request that many send was in flight at each of them.
 // The request that causes the crashes is in flight in each of them. After the
 // first crash it runs alone, so it is alone in the second; if a VM had not yet
 // learnt of the first crash and ran it among others, the second rule applies. A
@@ -37,6 +40,7 @@
 #include <compare>
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <set>
 #include <string>
@@ -49,6 +53,9 @@
 // Digest of a request as an upstream sees it.
 using fingerprint = std::uint64_t;
 
+// Requests with the time since the first of each was sent to the upstream.
+using suspect_requests = std::map<fingerprint, duration>;
+
 // The fingerprint of a request. Ignores white space outside of quoted strings,
 // as JSON does, but nothing else of the body.
 fingerprint fingerprint_of(std::string_view service,
@@ -74,7 +81,9 @@
     crash_id crash;
     bool alone = false;       // as the only request at the upstream
     std::int64_t time_us = 0; // when the crash was first seen
-    MSGPACK_DEFINE(request_fingerprint, crash, alone, time_us)
+    // Since the request was sent; VMs of earlier versions do not tell.
+    std::int64_t in_flight_us = std::numeric_limits<std::int64_t>::max();
+    MSGPACK_DEFINE(request_fingerprint, crash, alone, time_us, in_flight_us)
 };
 
 // Records that a request completed while it ran alone, which voids its earlier
@@ -98,6 +107,8 @@
 {
     duration retention = std::chrono::hours(1);
     duration settle_time = std::chrono::seconds(2);
+    // Longest time before a crash in which another one counts with it as one.
+    duration max_interval = std::chrono::seconds(2);
     // Beyond it, the fingerprint whose latest mark or clearance is oldest is
     // dropped.
     std::size_t max_fingerprints = 10'000;
@@ -125,7 +136,7 @@
     // Records that an upstream crashed with these requests of this VM in
     // flight. `reserved`: the upstream was reserved for the only one of them.
     void crashed(time_point now, crash_id const& crash,
-                 std::set<fingerprint> const& in_flight, bool reserved);
+                 suspect_requests const& in_flight, bool reserved);
 
     // Records that a suspect completed while it ran alone.
     void completed_alone(time_point now, fingerprint request_fingerprint);
@@ -164,6 +175,9 @@
     std::vector<crash_mark> valid_marks(time_point now,
                                         fingerprint request_fingerprint) const;
     bool was_alone(crash_mark const& mark) const;
+    // Whether the request was sent to the upstream that crashed later after the
+    // other one had crashed.
+    bool are_independent(crash_mark const& a, crash_mark const& b) const;
     bool is_only_common_suspect(time_point now, crash_mark const& a,
                                 crash_mark const& b) const;
     bool expired(time_point now, std::int64_t time_us) const;
--- a/src/core/request_attempts.cpp
+++ b/src/core/request_attempts.cpp
@@ -668,7 +668,7 @@
             : static_cast<std::uint64_t>(now.time_since_epoch() /
                                          crash_timestamp_resolution);
     crash_id const crash{crashed.profile.name, incarnation};
-    quarantine_.crashed(now, crash, suspects.requests,
+    quarantine_.crashed(suspects.lost_at, crash, suspects.requests,
                         reserved_.contains(upstream));
     part_quarantine_.crashed(suspects.lost_at, crash, suspects.parts);
     add_timeline_entry(
