--- a/src/core/crashing_request_test.cpp
+++ b/src/core/crashing_request_test.cpp
@@ -80,6 +80,41 @@
     }
 }
 
+// As in the users' record: nine VMs before four upstreams, answers of 100 ms,
+// other lookups beside it, and VMs that restart.
+BOOST_AUTO_TEST_CASE(is_not_sent_any_more_by_many_vms_of_which_some_restart)
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed)
+    {
+        test::crash_world_options options;
+        options.vms = 9;
+        options.first_byte = milliseconds(100);
+        options.lost_answers = 0.02;
+        options.seed = seed;
+        test::crash_world world(options, is_fatal);
+        for (auto round = 0; round < seconds(60) / milliseconds(100); ++round)
+        {
+            world.send(world.pick(options.vms), "sound",
+                       lookup("/sound/" + std::to_string(world.pick(20))));
+            if (round % 3 == 0)
+            {
+                world.send(world.pick(options.vms), "fatal", lookup("/fatal"));
+            }
+            if (round % 100 == 99)
+            {
+                world.restart_vm(world.pick(options.vms));
+            }
+            world.run(milliseconds(100));
+        }
+        BOOST_TEST(late_arrivals(world) <= allowed_arrivals,
+                   "seed " << seed << ": " << late_arrivals(world) << " late, "
+                           << world.crashes().size() << " crashes");
+        BOOST_TEST(world.of("sound").quarantined * 20 <= world.of("sound").sent,
+                   "seed " << seed << ": " << world.of("sound").quarantined
+                           << " of " << world.of("sound").sent);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(is_not_sent_by_a_vm_that_has_started_since)
 {
     test::crash_world world({}, is_fatal);
