A limit that an upstream names holds for all VMs together

core/limit_share deals the limit out in turns, one for each VM in the order of names; an unused turn is lost. A VM needs the number of listed VMs only, so it is safe alone when it is cut off or has just started, and counts VMs whose entries vanish for 30 s more. Every attempt uses a turn, as all go through the router's choice; loads of a limited engine are not read. What VMs have heard is repeated to peers with its age, also that a limit has ended. Where only limited upstreams are left, as many requests wait as have a turn in a third of their time; others are refused with the time of the first free turn.

Known not to be covered: the capacity plan counts a limited upstream as a whole one.

--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -1,5 +1,6 @@
 #include "core/node.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace amarantharch
@@ -110,7 +111,11 @@
 void node::on(time_point now, members_listed const& what)
 {
     control_.apply_vm_list(now, what.members);
-    requests_.set_fleet_size(what.members.size() + 1);
+    auto const before =
+        std::ranges::count_if(what.members, [this](listed_member const& each)
+                              { return each.vm < options_.control.vm; });
+    requests_.set_fleet_position(
+        now, {static_cast<std::size_t>(before), what.members.size() + 1});
 }
 
 void node::on(time_point, upstream_reported const& what)
--- a/src/core/peer_exchange.cpp
+++ b/src/core/peer_exchange.cpp
@@ -74,6 +74,10 @@
         // Not forwarded: readers forward the directory's records to all VMs.
         requests.take_found_leaving();
     }
+    for (upstream_limit const& row : update->limits)
+    {
+        requests.merge_limit(now, row);
+    }
     for (upstream_load const& load : update->loads)
     {
         upstream_report const report{now - duration(load.age_us), load.running,
@@ -164,10 +168,10 @@
                  urgent);
         }
     }
-    if (now >= refusals_due_)
+    if (now >= repeat_due_)
     {
-        refusals_due_ = now + options_.refusals_interval;
-        send_refusals(now, members, requests);
+        repeat_due_ = now + options_.repeat_interval;
+        repeat_state(now, members, requests);
     }
     peer_update handover;
     handover.handed_over = requests.take_handed_over();
@@ -211,17 +215,19 @@
     }
 }
 
-// Repeats which requests and prompt parts are refused, for VMs that have
-// started since.
-void peer_exchange::send_refusals(time_point now, membership const& members,
-                                  request_path& requests)
+// Repeats which requests and prompt parts are refused and which upstreams name
+// limits, for VMs that have started since.
+void peer_exchange::repeat_state(time_point now, membership const& members,
+                                 request_path& requests)
 {
     peer_update update;
     update.quarantined = requests.crash_quarantine().refused_state(now);
     update.quarantined_parts = requests.part_quarantine().refused_state(now);
-    if (!update.quarantined.marks.empty() || !update.quarantined_parts.empty())
+    update.limits = requests.upstreams().limits(now);
+    if (!update.quarantined.marks.empty() ||
+        !update.quarantined_parts.empty() || !update.limits.empty())
     {
-        send(next_peers(members, options_.refusals_fanout, next_refusals_peer_),
+        send(next_peers(members, options_.repeat_fanout, next_repeat_peer_),
              update);
     }
 }
--- a/src/core/peer_exchange.hpp
+++ b/src/core/peer_exchange.hpp
@@ -56,10 +56,10 @@
     std::size_t max_quota_fanout = 64;
     // Between messages to those that watch over the duties, in a large fleet.
     duration counter_interval = std::chrono::seconds(1);
-    // Each VM repeats what it refuses to this many peers in turn, once in this
-    // time.
-    duration refusals_interval = std::chrono::milliseconds(500);
-    std::size_t refusals_fanout = 2;
+    // Each VM repeats what it refuses, and the limits that upstreams name, to
+    // this many peers in turn, once in this time.
+    duration repeat_interval = std::chrono::milliseconds(500);
+    std::size_t repeat_fanout = 2;
     // A hub passes a claim of the duties on for so long after it was heard.
     duration claim_lifetime = std::chrono::milliseconds(1'500);
 };
@@ -126,8 +126,8 @@
     void relay_configuration(time_point now, std::string const& from,
                              peer_update const& update);
     void ask_for_configuration(time_point now);
-    void send_refusals(time_point now, membership const& members,
-                       request_path& requests);
+    void repeat_state(time_point now, membership const& members,
+                      request_path& requests);
     void read_loads(time_point now, upstream_table const& upstreams);
     void merge_quotas(time_point now, peer_message const& from,
                       peer_update const& update, request_path& requests);
@@ -162,11 +162,11 @@
     std::size_t next_urgent_peer_ = 0;
     std::size_t next_usage_peer_ = 0;
     std::size_t next_quota_peer_ = 0;
-    std::size_t next_refusals_peer_ = 0;
+    std::size_t next_repeat_peer_ = 0;
     time_point usage_due_{};
     time_point counters_due_{};
     time_point urgent_due_{};
-    time_point refusals_due_{};
+    time_point repeat_due_{};
 };
 
 } // namespace amarantharch
--- a/src/core/peer_update.hpp
+++ b/src/core/peer_update.hpp
@@ -15,6 +15,7 @@
 #include "core/service_demand.hpp"
 #include "core/shared_quota.hpp"
 #include "core/shared_reading.hpp"
+#include "core/upstream_table.hpp"
 #include "core/usage_windows.hpp"
 #include "core/version_move.hpp"
 
@@ -74,12 +75,13 @@
     bool wants_configuration = false;
     std::vector<configuration_piece> configuration_pieces;
     prompt_part_delta quarantined_parts;
+    std::vector<upstream_limit> limits;
     MSGPACK_DEFINE(usage, quarantined, leaving, handed_over, evidence,
                    quota_reports, request_counts, move_states, demand,
                    reading_reports, holds_duties, loads, leaving_upstreams,
                    relayed_quotas, cell, quota_sums, duty_holder,
                    configuration_version, wants_configuration,
-                   configuration_pieces, quarantined_parts)
+                   configuration_pieces, quarantined_parts, limits)
 };
 
 std::string encode(peer_update const& update);
--- a/src/core/request_attempts.cpp
+++ b/src/core/request_attempts.cpp
@@ -27,6 +27,9 @@
 constexpr duration moved_upstream_pause = std::chrono::seconds(2);
 // Interval at which a request without a usable upstream looks for one again.
 constexpr duration upstream_retry_interval = std::chrono::milliseconds(20);
+// A request waits this part of the time that it has left for a turn at an
+// upstream with a limit; the rest is for its answer.
+constexpr int turn_wait_divisor = 3;
 // Where the incarnation of an upstream is not known, its crash is identified by
 // the time in units of this, so that all VMs identify it alike.
 constexpr duration crash_timestamp_resolution = std::chrono::milliseconds(500);
@@ -139,6 +142,47 @@
     r.attempt_due = now + upstream_retry_interval;
 }
 
+// Lets the request wait for this VM's turn at an upstream that names a limit,
+// if one is due in time, and refuses it otherwise. Returns false if no upstream
+// of the service names one.
+bool request_path::wait_for_turn(time_point now, row& r)
+{
+    bool const waits = r.waits_for_turn_until.has_value();
+    std::size_t& waiting = waiting_for_turn_[r.route.service];
+    auto const turn =
+        upstreams_.turn_after(now, r.route.service, waits ? 0 : waiting);
+    if (!turn)
+    {
+        return false;
+    }
+    time_point const until = r.waits_for_turn_until.value_or(
+        now + (r.deadline - now) / turn_wait_divisor);
+    bool const in_time = waits ? now < until : *turn <= until;
+    if (!in_time)
+    {
+        time_point const free =
+            *upstreams_.turn_after(now, r.route.service, waiting);
+        refuse(now, r, 503, "upstream_limited",
+               std::max(free - now, upstream_retry_interval));
+        return true;
+    }
+    if (!waits)
+    {
+        ++waiting;
+        r.waits_for_turn_until = until;
+    }
+    wait_for_upstream(now, r);
+    return true;
+}
+
+void request_path::end_wait_for_turn(row& r)
+{
+    if (std::exchange(r.waits_for_turn_until, std::nullopt))
+    {
+        --waiting_for_turn_[r.route.service];
+    }
+}
+
 // Chooses the upstream for the next attempt: one of the version assigned to the
 // request or, if there is none, of the other version.
 std::optional<choice> request_path::choose_upstream(time_point now, row& r,
@@ -216,12 +260,17 @@
         wait_for_upstream(now, r);
         return;
     }
+    if (!chosen && wait_for_turn(now, r))
+    {
+        return;
+    }
     if (!chosen)
     {
         refuse(now, r, 503, "no_upstream",
                retry_after_of(now, r.route.service));
         return;
     }
+    end_wait_for_turn(r);
     r.current_stage = stage::running;
     r.attempt = next_attempt_++;
     r.attempt_started = now;
@@ -311,6 +360,7 @@
             now,
             {upstreams_.row(r->upstream).profile.name, r->upstream_incarnation},
             metadata.notice);
+        hear_limit(now, *r, metadata);
     }
     bool const not_run = metadata.stated_verdict == verdict::not_run;
     bool const is_server_error = what.status >= http_server_error;
--- a/src/core/request_endings.cpp
+++ b/src/core/request_endings.cpp
@@ -88,6 +88,7 @@
 
 void request_path::remove(time_point now, row& r)
 {
+    end_wait_for_turn(r);
     if (r.admitted)
     {
         std::uint32_t const tokens = charged_tokens(
--- a/src/core/request_path.cpp
+++ b/src/core/request_path.cpp
@@ -19,6 +19,9 @@
 constexpr duration stop_margin = std::chrono::milliseconds(500);
 constexpr int too_many_requests = 429;
 constexpr std::uint32_t default_output_tokens = 128;
+// How long upstreams' limits are still shared with VMs that are not listed any
+// more: a list may be incomplete for a moment.
+constexpr duration fleet_memory = std::chrono::seconds(30);
 constexpr std::string_view inquiry_prefix = "/v1/requests/";
 
 upstream_profile profile_of(upstream_spec const& spec,
@@ -116,16 +119,29 @@
     }
 }
 
-void request_path::set_fleet_size(std::size_t vms)
+void request_path::set_fleet_position(time_point now, fleet_position position)
 {
-    quotas_.set_fleet_size(vms);
-    demand_.set_fleet_size(vms);
+    quotas_.set_fleet_size(position.vms);
+    demand_.set_fleet_size(position.vms);
     if (options_.fleet_retry_cap > 0)
     {
-        retries_.set_cap(options_.fleet_retry_cap / static_cast<double>(vms));
+        retries_.set_cap(options_.fleet_retry_cap /
+                         static_cast<double>(position.vms));
+    }
+    listed_position_ = position;
+    if (position.vms >= used_position_.vms)
+    {
+        use_fleet_position(now, position);
     }
 }
 
+void request_path::use_fleet_position(time_point now, fleet_position position)
+{
+    used_position_ = position;
+    shrink_due_ = now + fleet_memory;
+    upstreams_.set_fleet_position(now, position);
+}
+
 // The limit on requests in flight starts at the total slots of the service's
 // upstreams, times admitted_per_slot, and never exceeds it.
 admission_options request_path::admission_for(std::string const& service) const
@@ -593,13 +609,61 @@
 {
     event_time_ = now;
     auto const index = upstreams_.find(what.upstream);
-    if (index)
+    if (!index)
+    {
+        return;
+    }
+    std::uint64_t const incarnation = upstreams_.row(*index).incarnation;
+    heed_notice(now, {what.upstream, incarnation}, what.notice);
+    if (what.notice.request_limit &&
+        upstreams_.hear_limit(now, what.upstream, incarnation,
+                              what.notice.request_limit))
+    {
+        log_limit(now, what.upstream, "load_read");
+    }
+}
+
+void request_path::merge_limit(time_point now, upstream_limit const& heard)
+{
+    if (upstreams_.merge_limit(now, heard))
     {
-        heed_notice(now, {what.upstream, upstreams_.row(*index).incarnation},
-                    what.notice);
+        log_limit(now, heard.upstream, "peer");
     }
 }
 
+// Takes what the head of an answer says, or does not say, of a limit.
+void request_path::hear_limit(time_point now, row const& r,
+                              answer_metadata const& metadata)
+{
+    std::string const& upstream = upstreams_.row(r.upstream).profile.name;
+    auto const& limit = metadata.notice.request_limit;
+    if ((limit || metadata.tells_of_limits) &&
+        upstreams_.hear_limit(now, upstream, r.upstream_incarnation, limit))
+    {
+        log_limit(now, upstream, "answer");
+    }
+}
+
+void request_path::log_limit(time_point now, std::string const& upstream,
+                             std::string_view source)
+{
+    upstream_row const& named = upstreams_.row(*upstreams_.find(upstream));
+    std::int64_t const age_ms = to_millis(now - named.limit_since);
+    if (!named.limit)
+    {
+        add_timeline_entry("upstream_limit_ended", "",
+                           fmt::format("upstream={} source={} age_ms={}",
+                                       upstream, source, age_ms));
+        return;
+    }
+    add_timeline_entry(
+        "upstream_limited", "",
+        fmt::format("upstream={} per_second={} source={} age_ms={} vms={} "
+                    "interval_ms={}",
+                    upstream, named.limit->per_second(), source, age_ms,
+                    used_position_.vms, to_millis(named.limit->interval())));
+}
+
 // Stops sending to an upstream that is shutting down or asks for a pause.
 void request_path::heed_notice(time_point now, leaving_upstream const& from,
                                upstream_notice const& notice)
@@ -746,6 +810,10 @@
     quarantine_.tick(now);
     part_quarantine_.tick(now);
     demand_.tick(now);
+    if (listed_position_ != used_position_ && now >= shrink_due_)
+    {
+        use_fleet_position(now, listed_position_);
+    }
     bool const must_stop_now =
         stop_deadline_ && now >= *stop_deadline_ - stop_margin;
     std::vector<request_id> expired;
@@ -768,6 +836,9 @@
         past_deadline ? expire(now, r, 504, "deadline_passed")
                       : expire(now, r, 503, "stopping");
     }
+    std::ranges::stable_sort(due, {},
+                             [this](request_id const& id)
+                             { return rows_.at(id).deadline; });
     for (request_id const& id : due)
     {
         dispatch(now, rows_.at(id));
--- a/src/core/request_path.hpp
+++ b/src/core/request_path.hpp
@@ -110,8 +110,9 @@
     void set_routing_tables(time_point now,
                             std::shared_ptr<routing_tables const> tables);
 
-    // Number of VMs that the platform lists, including this one.
-    void set_fleet_size(std::size_t vms);
+    // Number of VMs that the platform lists, including this one, and this VM's
+    // place among them.
+    void set_fleet_position(time_point now, fleet_position position);
 
     // The current routing tables.
     routing_tables const& tables() const
@@ -147,6 +148,9 @@
         return std::exchange(found_leaving_, {});
     }
 
+    // A peer has heard of an upstream's limit.
+    void merge_limit(time_point now, upstream_limit const& heard);
+
     // An upstream said something about itself in an answer other than to a
     // caller's request.
     void handle(time_point now, upstream_noticed const& what);
@@ -292,6 +296,8 @@
         version_choice version;
         fingerprint request_fingerprint = 0;
         bool runs_alone = false; // no other request may run on its upstream
+        // Waits until then at most for a turn at an upstream with a limit.
+        std::optional<time_point> waits_for_turn_until;
         // Marks that its prompt's parts had when the attempt was sent.
         std::vector<part_clearance> part_marks;
     };
@@ -330,6 +336,13 @@
     void refuse_for_prompt_part(time_point now, row& r);
     std::vector<upstream_index> exclusions_for(row const& r) const;
     void wait_for_upstream(time_point now, row& r);
+    bool wait_for_turn(time_point now, row& r);
+    void end_wait_for_turn(row& r);
+    void hear_limit(time_point now, row const& r,
+                    answer_metadata const& metadata);
+    void log_limit(time_point now, std::string const& upstream,
+                   std::string_view source);
+    void use_fleet_position(time_point now, fleet_position position);
     void detect_crash(time_point now, row const& r, std::string const& reason);
     void record_crash(time_point now, upstream_index upstream,
                       crash_suspects const& suspects);
@@ -404,6 +417,11 @@
     std::vector<std::string> handed_over_; // records to be sent to peers
     std::vector<leaving_upstream> found_leaving_;
     std::map<std::string, upstream_report> answer_loads_;
+    // Requests that wait for a turn, by service.
+    std::map<std::string, std::size_t> waiting_for_turn_;
+    fleet_position listed_position_;
+    fleet_position used_position_; // for limits
+    time_point shrink_due_;        // when used_position_ may take fewer VMs
 };
 
 } // namespace amarantharch
--- a/src/core/upstream_notice_test.cpp
+++ b/src/core/upstream_notice_test.cpp
@@ -1,5 +1,6 @@
 // What upstreams say about themselves in their answers: that they are shutting
-// down, or that they want no requests for a time.
+// down, that they want no requests for a time, or how many they take from all
+// VMs together.
 #include "core/request_path.hpp"
 
 #include <boost/test/unit_test.hpp>
@@ -23,6 +24,7 @@
 constexpr int unavailable = 503;
 std::string const leaving_header = "Leaving";
 std::string const pause_header = "Pause-Ms";
+std::string const limit_header = "Limit";
 std::string const misdirected_header = "Misdirected";
 
 // Notices in headers of their own; everything else as in the native dialect.
@@ -62,6 +64,12 @@
         {
             metadata.notice.pause = milliseconds(std::stoi(pause));
         }
+        std::string const limit(header_value(headers, limit_header));
+        if (!limit.empty())
+        {
+            metadata.notice.request_limit = std::stod(limit);
+        }
+        metadata.tells_of_limits = status == ok;
         return metadata;
     }
 };
@@ -315,6 +323,127 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(that_it_takes_so_many_requests_a_second)
+
+// One VM of a fleet of four: a turn every two seconds.
+struct limited_desk : desk_service
+{
+    limited_desk() : desk_service(1)
+    {
+        path.set_fleet_position(now, {0, 4});
+        hear("2");
+    }
+
+    // Has the desk answer a request with this limit.
+    void hear(std::string const& limit)
+    {
+        auto const attempt = send();
+        BOOST_REQUIRE(attempt.has_value());
+        answer(*attempt, ok, {{limit_header, limit}});
+    }
+
+    void run(duration span)
+    {
+        for (time_point const end = now + span; now < end;)
+        {
+            now += milliseconds(10);
+            path.tick(now);
+        }
+    }
+};
+
+BOOST_FIXTURE_TEST_CASE(has_a_request_wait_for_its_turn, limited_desk)
+{
+    BOOST_TEST(!send().has_value());
+    BOOST_TEST(refusals.empty());
+    run(seconds(3));
+    BOOST_TEST(attempts.size() == 1u);
+}
+
+BOOST_FIXTURE_TEST_CASE(has_as_many_wait_as_have_a_turn_in_time, limited_desk)
+{
+    std::size_t waiting = 0;
+    for (int i = 0; i < 20; ++i)
+    {
+        send();
+        waiting += refusals.empty() ? 1 : 0;
+    }
+    BOOST_TEST(waiting >= 2u);
+    BOOST_TEST(waiting < 10u);
+    attempts.clear();
+    refusals.clear();
+    run(seconds(15));
+    BOOST_TEST(attempts.size() + refusals.size() == waiting);
+    BOOST_TEST(refusals.size() <= 1u);
+}
+
+BOOST_FIXTURE_TEST_CASE(has_a_caller_return_when_there_is_a_turn, limited_desk)
+{
+    while (refusals.empty())
+    {
+        send();
+    }
+    refusal const why = refusals.front().why;
+    BOOST_TEST(why.status == unavailable);
+    BOOST_TEST((why.run == verdict::not_run));
+    BOOST_TEST((why.retry_after > seconds(2)));
+    run(why.retry_after);
+    attempts.clear();
+    send();
+    run(seconds(2));
+    BOOST_TEST(refusals.empty());
+    BOOST_TEST(attempts.size() == 1u);
+}
+
+BOOST_FIXTURE_TEST_CASE(has_a_limit_until_it_names_none, limited_desk)
+{
+    path.handle(now, upstream_noticed{"desk-1", {}});
+    BOOST_TEST(!send().has_value());
+    run(seconds(3));
+    BOOST_REQUIRE(attempts.size() == 1u);
+    answer(attempts.front(), ok, {});
+    BOOST_TEST(requests_to("desk-1") == 40);
+}
+
+BOOST_FIXTURE_TEST_CASE(has_none_in_a_later_incarnation, limited_desk)
+{
+    list("desk-1", 8);
+    BOOST_TEST(requests_to("desk-1") == 40);
+}
+
+BOOST_FIXTURE_TEST_CASE(has_it_when_its_entry_lapses_and_comes_back,
+                        limited_desk)
+{
+    path.handle(now, upstream_unlisted{"desk-1"});
+    list("desk-1", 7);
+    BOOST_TEST(requests_to("desk-1") == 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(has_the_limit_that_it_named_last, limited_desk)
+{
+    // Peers' messages that are older than the desk's own answer, and a later
+    // one.
+    path.merge_limit(now, {"desk-1", 7, 0, duration(seconds(5)).count()});
+    BOOST_TEST(requests_to("desk-1") == 0);
+    now += seconds(1);
+    path.merge_limit(now, {"desk-1", 6, 0, 0});
+    BOOST_TEST(path.upstreams().limits(now).size() == 1u);
+    path.merge_limit(now, {"desk-1", 7, 0, 0});
+    BOOST_TEST(requests_to("desk-1") == 40);
+}
+
+BOOST_FIXTURE_TEST_CASE(is_shared_with_vms_whose_entries_are_gone_for_a_moment,
+                        limited_desk)
+{
+    path.set_fleet_position(now, {0, 1});
+    BOOST_TEST((path.upstreams().row(0).limit->interval() == seconds(2)));
+    run(seconds(31));
+    BOOST_TEST((path.upstreams().row(0).limit->interval() ==
+                duration(seconds(1)) / 2));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace amarantharch
--- a/src/core/upstream_table.cpp
+++ b/src/core/upstream_table.cpp
@@ -12,12 +12,26 @@
 
 // Bounds the memory taken by upstreams that are gone for good.
 constexpr std::size_t max_removed = 1'024;
+// How long peers are told that a limit has ended.
+constexpr duration limit_memory = std::chrono::seconds(10);
+// Differences in what VMs say of the begin of a limit that are put down to the
+// delay of messages.
+constexpr duration begin_tolerance = std::chrono::milliseconds(50);
 
 std::uint64_t hash_of(std::string const& name)
 {
     return XXH3_64bits(name.data(), name.size());
 }
 
+// Whether a row has the limit that is named.
+bool has_limit(upstream_row const& row, std::optional<double> per_second)
+{
+    return per_second
+               ? row.limit && row.limit->per_second() ==
+                                  std::max(*per_second, min_requests_per_second)
+               : !row.limit;
+}
+
 // Points with equal hashes are ordered by index.
 bool before(upstream_table::ring_point const& a,
             upstream_table::ring_point const& b)
@@ -56,6 +70,9 @@
         row.ejected_until = time_point();
         row.paused_until = time_point();
         row.report.reset();
+        row.limit.reset();
+        row.limit_since = time_point();
+        row.limit_heard_at = time_point();
     }
     remove_from_ring(index);
     row.profile = std::move(profile);
@@ -114,6 +131,128 @@
     return true;
 }
 
+bool upstream_table::hear_limit(time_point now, std::string_view name,
+                                std::uint64_t incarnation,
+                                std::optional<double> per_second)
+{
+    upstream_row* const row = find_row(name, incarnation);
+    if (row == nullptr)
+    {
+        return false;
+    }
+    row->limit_heard_at = now;
+    if (has_limit(*row, per_second))
+    {
+        return false;
+    }
+    set_limit(now, now, *row, per_second);
+    return true;
+}
+
+bool upstream_table::merge_limit(time_point now, upstream_limit const& heard)
+{
+    upstream_row* const row = find_row(heard.upstream, heard.incarnation);
+    if (row == nullptr)
+    {
+        return false;
+    }
+    auto const per_second =
+        heard.per_second > 0 ? std::optional(heard.per_second) : std::nullopt;
+    time_point const since =
+        now - std::max(duration(heard.age_us), duration::zero());
+    if (has_limit(*row, per_second))
+    {
+        if (row->limit && since + begin_tolerance < row->limit_since)
+        {
+            set_limit(now, since, *row, per_second);
+        }
+        return false;
+    }
+    if (since <= row->limit_heard_at || since <= row->limit_since)
+    {
+        return false;
+    }
+    set_limit(now, since, *row, per_second);
+    return true;
+}
+
+void upstream_table::set_limit(time_point now, time_point since,
+                               upstream_row& row,
+                               std::optional<double> per_second)
+{
+    row.limit_since = since;
+    if (!per_second)
+    {
+        row.limit.reset();
+    }
+    else if (row.limit)
+    {
+        row.limit->change(now, since, *per_second);
+    }
+    else
+    {
+        row.limit.emplace(now, since, *per_second, position_);
+    }
+}
+
+std::vector<upstream_limit> upstream_table::limits(time_point now) const
+{
+    std::vector<upstream_limit> result;
+    for (upstream_row const& row : rows_)
+    {
+        bool const ended_lately = !row.limit &&
+                                  row.limit_since != time_point() &&
+                                  now - row.limit_since < limit_memory;
+        if (row.present && (row.limit || ended_lately))
+        {
+            result.push_back({row.profile.name, row.incarnation,
+                              row.limit ? row.limit->per_second() : 0,
+                              (now - row.limit_since).count()});
+        }
+    }
+    return result;
+}
+
+void upstream_table::set_fleet_position(time_point now, fleet_position position)
+{
+    position_ = position;
+    for (upstream_row& row : rows_)
+    {
+        if (row.limit)
+        {
+            row.limit->set_position(now, position);
+        }
+    }
+}
+
+std::optional<time_point> upstream_table::turn_after(time_point now,
+                                                     std::string_view service,
+                                                     std::size_t others) const
+{
+    std::optional<time_point> first;
+    double turns_per_second = 0;
+    for (ring_point const& point : ring(service))
+    {
+        upstream_row const& row = rows_[point.upstream];
+        if (!row.limit || row.leaving || row.quarantined || position_.vms == 0)
+        {
+            continue;
+        }
+        time_point const turn = std::max(
+            {row.limit->next_turn(now), row.ejected_until, row.paused_until});
+        first = std::min(first.value_or(turn), turn);
+        turns_per_second +=
+            1 / std::chrono::duration<double>(row.limit->interval()).count();
+    }
+    if (first)
+    {
+        *first +=
+            std::chrono::duration_cast<duration>(std::chrono::duration<double>(
+                static_cast<double>(others) / turns_per_second));
+    }
+    return first;
+}
+
 std::optional<time_point>
 upstream_table::next_available(std::string_view service) const
 {
@@ -121,7 +260,7 @@
     for (ring_point const& point : ring(service))
     {
         upstream_row const& row = rows_[point.upstream];
-        if (row.leaving || row.quarantined)
+        if (row.leaving || row.quarantined || row.limit)
         {
             continue;
         }
@@ -134,8 +273,10 @@
 void upstream_table::remember_removed(upstream_row const& row)
 {
     auto const [place, added] = removed_.insert_or_assign(
-        row.profile.name, removed_row{row.incarnation, row.leaving,
-                                      row.quarantined, row.paused_until});
+        row.profile.name,
+        removed_row{row.incarnation, row.leaving, row.quarantined,
+                    row.paused_until, row.limit, row.limit_since,
+                    row.limit_heard_at});
     if (added)
     {
         removed_order_.push_back(row.profile.name);
@@ -159,6 +300,9 @@
     row.leaving = known->second.leaving;
     row.quarantined = known->second.quarantined;
     row.paused_until = known->second.paused_until;
+    row.limit = known->second.limit;
+    row.limit_since = known->second.limit_since;
+    row.limit_heard_at = known->second.limit_heard_at;
 }
 
 std::optional<upstream_index> upstream_table::find(std::string_view name) const
--- a/src/core/upstream_table.hpp
+++ b/src/core/upstream_table.hpp
@@ -7,15 +7,23 @@
 // upstream: they may be merged from any source, in any order and repeatedly,
 // and never flap. A higher incarnation starts with both flags cleared. An
 // upstream that is removed and comes back in the same incarnation, as after an
-// outage of the directory, still has its flags and its pause.
+// outage of the directory, still has its flags, its pause and its limit.
+//
+// What VMs have heard of an upstream's limit merges by time: the value that the
+// upstream began to name last counts, but what it has told this VM itself goes
+// before what peers heard earlier. Like the flags, a limit holds for one
+// incarnation.
 //
 // Cost: lookup by name is O(log upstreams); a row takes about 300 bytes.
 #ifndef AMARANTHARCH_CORE_UPSTREAM_TABLE_HPP
 #define AMARANTHARCH_CORE_UPSTREAM_TABLE_HPP
 
+#include "core/limit_share.hpp"
 #include "core/site.hpp"
 #include "core/time.hpp"
 
+#include <msgpack.hpp>
+
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -68,15 +76,28 @@
     time_point paused_until;     // requested by the upstream itself
     std::uint32_t in_flight = 0; // attempts of this VM
     std::optional<upstream_report> report;
+    std::optional<limit_share> limit; // on the requests of all VMs
+    time_point limit_since;           // it names this limit, or none
+    time_point limit_heard_at;        // the last answer that told this VM
 
     // Whether new work may be sent to it.
     bool takes_work(time_point now) const
     {
         return present && !leaving && !quarantined && ejected_until <= now &&
-               paused_until <= now;
+               paused_until <= now && (!limit || limit->admits(now));
     }
 };
 
+// What a VM has heard of an upstream's limit, as sent between VMs.
+struct upstream_limit
+{
+    std::string upstream;
+    std::uint64_t incarnation = 0;
+    double per_second = 0;   // 0: it does not name one any more
+    std::int64_t age_us = 0; // since it began to name this
+    MSGPACK_DEFINE(upstream, incarnation, per_second, age_us)
+};
+
 class upstream_table
 {
 public:
@@ -95,8 +116,29 @@
     bool pause(std::string_view name, std::uint64_t incarnation,
                time_point until);
 
+    // An answer of the upstream to this VM names a limit, or shows that there
+    // is none.
+    bool hear_limit(time_point now, std::string_view name,
+                    std::uint64_t incarnation,
+                    std::optional<double> per_second);
+
+    // A peer has heard of a limit.
+    bool merge_limit(time_point now, upstream_limit const& heard);
+
+    // The limits in force, and those that ended less than limit_memory ago.
+    std::vector<upstream_limit> limits(time_point now) const;
+
+    // This VM's place among those that share the limits.
+    void set_fleet_position(time_point now, fleet_position position);
+
+    // When this VM has a turn for `service` after `others` further requests, by
+    // the limits of its upstreams; nothing if none of them names a limit.
+    std::optional<time_point> turn_after(time_point now,
+                                         std::string_view service,
+                                         std::size_t others) const;
+
     // When the first present upstream of `service` that is neither leaving nor
-    // quarantined takes work; nothing if there is none.
+    // quarantined and has no limit takes work; nothing if there is none.
     std::optional<time_point> next_available(std::string_view service) const;
 
     std::optional<upstream_index> find(std::string_view name) const;
@@ -134,8 +176,13 @@
         bool leaving = false;
         bool quarantined = false;
         time_point paused_until;
+        std::optional<limit_share> limit;
+        time_point limit_since;
+        time_point limit_heard_at;
     };
 
+    void set_limit(time_point now, time_point since, upstream_row& row,
+                   std::optional<double> per_second);
     void remember_removed(upstream_row const& row);
     void restore_removed(upstream_row& row);
     upstream_row* find_row(std::string_view name, std::uint64_t incarnation);
@@ -149,6 +196,7 @@
     // Each present row is in the ring of its service and in no other; each ring
     // is in hash order.
     std::map<std::string, std::vector<ring_point>, std::less<>> rings_;
+    fleet_position position_;
     std::map<std::string, removed_row> removed_;
     std::deque<std::string> removed_order_; // names, the oldest first
 };
