Limits: what peers send is checked, callers return when any upstream is free

A limit from a peer that is not finite is ignored and its age bounded. A refusal for a limit counts an upstream whose pause ends sooner. Turns go to the most urgent waiting request first, and a limit that is kept for an entry that lapsed follows the number of VMs. Tests: has_callers_return_sooner_if_anothers_pause_ends_sooner, has_the_limit_that_it_named_last.

--- a/src/core/request_attempts.cpp
+++ b/src/core/request_attempts.cpp
@@ -160,10 +160,14 @@
     bool const in_time = waits ? now < until : *turn <= until;
     if (!in_time)
     {
-        time_point const free =
+        time_point const turn_for_it =
             *upstreams_.turn_after(now, r.route.service, waiting);
+        time_point const available =
+            std::min(upstreams_.next_available(r.route.service)
+                         .value_or(time_point::max()),
+                     turn_for_it);
         refuse(now, r, 503, "upstream_limited",
-               std::max(free - now, upstream_retry_interval));
+               std::max(available - now, upstream_retry_interval));
         return true;
     }
     if (!waits)
--- a/src/core/request_path.cpp
+++ b/src/core/request_path.cpp
@@ -836,9 +836,13 @@
         past_deadline ? expire(now, r, 504, "deadline_passed")
                       : expire(now, r, 503, "stopping");
     }
+    // Turns at upstreams with limits go to the most urgent first.
     std::ranges::stable_sort(due, {},
                              [this](request_id const& id)
-                             { return rows_.at(id).deadline; });
+                             {
+                                 row const& r = rows_.at(id);
+                                 return std::pair(r.urgency, r.deadline);
+                             });
     for (request_id const& id : due)
     {
         dispatch(now, rows_.at(id));
--- a/src/core/upstream_notice_test.cpp
+++ b/src/core/upstream_notice_test.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <cmath>
 #include <memory>
 #include <optional>
 #include <string>
@@ -325,6 +326,24 @@
 
 BOOST_AUTO_TEST_SUITE(that_it_takes_so_many_requests_a_second)
 
+BOOST_AUTO_TEST_CASE(has_callers_return_sooner_if_anothers_pause_ends_sooner)
+{
+    desk_service desks(2);
+    desks.path.set_fleet_position(desks.now, {0, 40});
+    auto const first = desks.send();
+    auto const second = desks.send();
+    BOOST_REQUIRE((first && second && first->upstream != second->upstream));
+    desks.answer(*first, ok, {{limit_header, "1"}});
+    desks.answer(*second, unavailable, {{pause_header, "700"}});
+    desks.now += seconds(2);
+    desks.answer(*desks.send(), unavailable, {{pause_header, "700"}});
+    while (desks.refusals.empty())
+    {
+        desks.send();
+    }
+    BOOST_TEST((desks.refusals.front().why.retry_after <= milliseconds(700)));
+}
+
 // One VM of a fleet of four: a turn every two seconds.
 struct limited_desk : desk_service
 {
@@ -428,6 +447,8 @@
     now += seconds(1);
     path.merge_limit(now, {"desk-1", 6, 0, 0});
     BOOST_TEST(path.upstreams().limits(now).size() == 1u);
+    path.merge_limit(now, {"desk-1", 7, std::nan(""), 0});
+    BOOST_TEST(path.upstreams().limits(now).front().per_second == 2);
     path.merge_limit(now, {"desk-1", 7, 0, 0});
     BOOST_TEST(requests_to("desk-1") == 40);
 }
--- a/src/core/upstream_table.cpp
+++ b/src/core/upstream_table.cpp
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace amarantharch
 {
@@ -14,6 +15,8 @@
 constexpr std::size_t max_removed = 1'024;
 // How long peers are told that a limit has ended.
 constexpr duration limit_memory = std::chrono::seconds(10);
+// An older begin of a limit is taken to be this old.
+constexpr duration max_limit_age = std::chrono::hours(1);
 // Differences in what VMs say of the begin of a limit that are put down to the
 // delay of messages.
 constexpr duration begin_tolerance = std::chrono::milliseconds(50);
@@ -156,10 +159,14 @@
     {
         return false;
     }
+    if (!std::isfinite(heard.per_second))
+    {
+        return false;
+    }
     auto const per_second =
         heard.per_second > 0 ? std::optional(heard.per_second) : std::nullopt;
-    time_point const since =
-        now - std::max(duration(heard.age_us), duration::zero());
+    time_point const since = now - std::clamp(duration(heard.age_us),
+                                              duration::zero(), max_limit_age);
     if (has_limit(*row, per_second))
     {
         if (row->limit && since + begin_tolerance < row->limit_since)
@@ -223,6 +230,13 @@
             row.limit->set_position(now, position);
         }
     }
+    for (auto& [name, removed] : removed_)
+    {
+        if (removed.limit)
+        {
+            removed.limit->set_position(now, position);
+        }
+    }
 }
 
 std::optional<time_point> upstream_table::turn_after(time_point now,
