A suspected prompt part is tried by one VM at a time in a fleet of any size

VMs took turns at trials by a hash of their names over eight intervals, so in a fleet of 86 some ten tried a fatal part in the same two seconds, and each trial costs an engine. Turns now go by the VM's place in the list. is_tried_by_one_vm_at_a_time_in_a_fleet_of_any_size failed before with 9, 86 and 195 VMs.

--- a/src/core/limit_share.hpp
+++ b/src/core/limit_share.hpp
@@ -23,22 +23,12 @@
 #ifndef AMARANTHARCH_CORE_LIMIT_SHARE_HPP
 #define AMARANTHARCH_CORE_LIMIT_SHARE_HPP
 
+#include "core/fleet_position.hpp"
 #include "core/time.hpp"
 
-#include <cstddef>
-
 namespace amarantharch
 {
 
-// A VM's place among all VMs by their names.
-struct fleet_position
-{
-    std::size_t rank = 0;
-    std::size_t vms = 0; // 0: not known
-
-    bool operator==(fleet_position const&) const = default;
-};
-
 // Limits are taken to be at least this. With fewer requests nobody would learn
 // that a limit has ended.
 inline constexpr double min_requests_per_second = 0.05;
--- a/src/core/prompt_part_quarantine.cpp
+++ b/src/core/prompt_part_quarantine.cpp
@@ -335,9 +335,13 @@
 time_point prompt_part_quarantine::next_trial(std::uint64_t part,
                                               row const& r) const
 {
-    std::uint64_t const turn =
-        XXH3_64bits_withSeed(options_.vm.data(), options_.vm.size(), part) %
-        options_.trial_turns;
+    std::uint64_t const turns =
+        std::max<std::uint64_t>(options_.trial_turns, position_.vms);
+    std::uint64_t const own =
+        position_.vms > 0 ? position_.rank + part
+                          : XXH3_64bits_withSeed(options_.vm.data(),
+                                                 options_.vm.size(), part);
+    std::uint64_t const turn = own % turns;
     return std::max(r.last_mark_at, r.last_trial_at) +
            options_.trial_interval * static_cast<std::int64_t>(turn + 1);
 }
--- a/src/core/prompt_part_quarantine.hpp
+++ b/src/core/prompt_part_quarantine.hpp
@@ -30,7 +30,7 @@
 // the next answer. While a part has fewer than `certain_crashes` marks, each VM
 // lets a request through as a trial now and then, so that a sound part that is
 // refused by chance gets its answer. Trials wait `trial_interval` from the last
-// mark and take turns between VMs.
+// mark, and VMs take turns at it by their position, one in each interval.
 //
 // The state is a set of marks, each void or not. Merging is union, so messages
 // may be repeated, reordered and delayed. Marks expire `retention` after they
@@ -43,6 +43,7 @@
 #define AMARANTHARCH_CORE_PROMPT_PART_QUARANTINE_HPP
 
 #include "core/call.hpp"
+#include "core/fleet_position.hpp"
 #include "core/quarantine.hpp"
 #include "core/time.hpp"
 
@@ -68,7 +69,8 @@
     // Between a crash and a sending after it, for the delay of messages.
     duration min_separation = std::chrono::milliseconds(100);
     duration trial_interval = std::chrono::seconds(2);
-    // Trials of different VMs are spread over this many intervals.
+    // Trials are spread over this many intervals, or one for each VM if there
+    // are more.
     std::uint32_t trial_turns = 8;
     duration retention = std::chrono::minutes(10);
     std::size_t max_parts = 4'000;
@@ -144,6 +146,12 @@
 public:
     explicit prompt_part_quarantine(prompt_part_quarantine_options options);
 
+    // Until it is known, turns go by the VM's name.
+    void set_position(fleet_position position)
+    {
+        position_ = position;
+    }
+
     // Whether a request with this prompt may be sent now. A trial counts as
     // made.
     bool may_send(time_point now, std::vector<prompt_part> const& prompt);
@@ -221,6 +229,7 @@
     void evict_oldest_parts();
 
     prompt_part_quarantine_options options_;
+    fleet_position position_;
     std::map<std::uint64_t, row> rows_; // by part
     // New since the last take_changes().
     std::vector<new_crash> new_crashes_;
--- a/src/core/prompt_part_quarantine_test.cpp
+++ b/src/core/prompt_part_quarantine_test.cpp
@@ -192,6 +192,25 @@
     BOOST_TEST(!subject.may_send(now + minutes(5), prompt(fatal)));
 }
 
+BOOST_FIXTURE_TEST_CASE(is_tried_by_one_vm_at_a_time_in_a_fleet_of_any_size,
+                        quarantined_parts)
+{
+    crash_engines(3, {fatal});
+    for (std::size_t const vms : {2u, 9u, 86u, 195u})
+    {
+        std::size_t trials = 0;
+        for (std::size_t rank = 0; rank < vms; ++rank)
+        {
+            prompt_part_quarantine vm(options("vm-" + std::to_string(rank)));
+            vm.set_position({rank, vms});
+            vm.merge(now, subject.refused_state(now));
+            trials += vm.may_send(now + seconds(7), prompt(fatal)) ? 1 : 0;
+        }
+        BOOST_TEST(trials <= 3u, vms << " VMs");
+        BOOST_TEST(trials >= 1u, vms << " VMs");
+    }
+}
+
 BOOST_FIXTURE_TEST_CASE(is_forgotten_at_last, quarantined_parts)
 {
     crash_engines(5, {fatal});
--- a/src/core/request_path.cpp
+++ b/src/core/request_path.cpp
@@ -122,6 +122,7 @@
 void request_path::set_fleet_position(time_point now, fleet_position position)
 {
     quotas_.set_fleet_size(position.vms);
+    part_quarantine_.set_position(position);
     demand_.set_fleet_size(position.vms);
     if (options_.fleet_retry_cap > 0)
     {
