Callers refused for a prompt part are told when it may be tried again

The refusal had Retry-After 0, and callers came back at once, to be refused again for as long as they had time. It now names the interval of the trials, or the time until the marks expire where there are no more trials. has_callers_return_when_it_may_be_tried failed before.

--- a/src/core/prompt_part_quarantine.cpp
+++ b/src/core/prompt_part_quarantine.cpp
@@ -89,8 +89,12 @@
         {
             row const& r = rows_.at(part);
             std::size_t const valid = valid_marks(r);
+            bool const is_certain = valid >= options_.certain_crashes;
+            duration const retry_after =
+                is_certain ? r.last_mark_at + options_.retention - now
+                           : options_.trial_interval;
             return part_refusal{part, valid, r.marks.size() - valid,
-                                now - r.last_mark_at};
+                                now - r.last_mark_at, retry_after};
         }
     }
     return std::nullopt;
--- a/src/core/prompt_part_quarantine.hpp
+++ b/src/core/prompt_part_quarantine.hpp
@@ -139,6 +139,7 @@
     std::size_t valid_marks = 0;
     std::size_t void_marks = 0;
     duration since_last_mark{};
+    duration retry_after{}; // when the part may be tried or is forgotten
 };
 
 class prompt_part_quarantine
--- a/src/core/prompt_part_quarantine_test.cpp
+++ b/src/core/prompt_part_quarantine_test.cpp
@@ -211,6 +211,19 @@
     }
 }
 
+BOOST_FIXTURE_TEST_CASE(has_callers_return_when_it_may_be_tried,
+                        quarantined_parts)
+{
+    crash_engines(3, {fatal});
+    auto const early = subject.refusal_of(now, prompt(fatal));
+    BOOST_REQUIRE(early.has_value());
+    BOOST_TEST((early->retry_after == seconds(2)));
+    crash_engines(2, {fatal});
+    auto const certain = subject.refusal_of(now, prompt(fatal));
+    BOOST_REQUIRE(certain.has_value());
+    BOOST_TEST((certain->retry_after == minutes(10)));
+}
+
 BOOST_FIXTURE_TEST_CASE(is_forgotten_at_last, quarantined_parts)
 {
     crash_engines(5, {fatal});
--- a/src/core/request_attempts.cpp
+++ b/src/core/request_attempts.cpp
@@ -306,9 +306,11 @@
 
 void request_path::refuse_for_prompt_part(time_point now, row& r)
 {
+    duration retry_after{};
     if (auto const why =
             part_quarantine_.refusal_of(now, r.request.metadata.prompt))
     {
+        retry_after = why->retry_after;
         add_timeline_entry(
             "prompt_part_refused", r.request.id,
             fmt::format("part={:x} marks={} void={} last_mark_ms={}", why->part,
@@ -316,7 +318,7 @@
                         to_millis(why->since_last_mark)));
     }
     refuse(now, r, options_.quarantined_status, "prompt_part_quarantined",
-           duration::zero());
+           retry_after);
 }
 
 request_path::row* request_path::row_of(attempt_id attempt)
