--- a/src/core/limit_share.hpp
+++ b/src/core/limit_share.hpp
@@ -48,11 +48,6 @@
         return per_second_;
     }
 
-    time_point since() const
-    {
-        return since_;
-    }
-
     void change(time_point now, time_point since, double per_second);
     void set_position(time_point now, fleet_position position);
 
--- a/src/core/request_attempts.cpp
+++ b/src/core/request_attempts.cpp
@@ -144,13 +144,13 @@
 
 // Lets the request wait for this VM's turn at an upstream that names a limit,
 // if one is due in time, and refuses it otherwise. Returns false if no upstream
-// of the service names one.
+// that it may still be sent to names one.
 bool request_path::wait_for_turn(time_point now, row& r)
 {
     bool const waits = r.waits_for_turn_until.has_value();
     std::size_t& waiting = waiting_for_turn_[r.route.service];
-    auto const turn =
-        upstreams_.turn_after(now, r.route.service, waits ? 0 : waiting);
+    auto const turn = upstreams_.turn_after(
+        now, r.route.service, waits ? 0 : waiting, r.tried_upstreams);
     if (!turn)
     {
         return false;
@@ -160,8 +160,8 @@
     bool const in_time = waits ? now < until : *turn <= until;
     if (!in_time)
     {
-        time_point const turn_for_it =
-            *upstreams_.turn_after(now, r.route.service, waiting);
+        time_point const turn_for_it = *upstreams_.turn_after(
+            now, r.route.service, waiting, r.tried_upstreams);
         time_point const available =
             std::min(upstreams_.next_available(r.route.service)
                          .value_or(time_point::max()),
--- a/src/core/upstream_notice_test.cpp
+++ b/src/core/upstream_notice_test.cpp
@@ -414,6 +414,17 @@
     BOOST_TEST(attempts.size() == 1u);
 }
 
+BOOST_FIXTURE_TEST_CASE(has_no_request_wait_that_has_failed_there, limited_desk)
+{
+    send();
+    run(seconds(3));
+    BOOST_REQUIRE(attempts.size() == 1u);
+    path.handle(now, upstream_failed{attempts.front().attempt,
+                                     verdict::may_have_run, "timeout"});
+    run(milliseconds(100));
+    BOOST_TEST(refusals.size() == 1u);
+}
+
 BOOST_FIXTURE_TEST_CASE(has_a_limit_until_it_names_none, limited_desk)
 {
     path.handle(now, upstream_noticed{"desk-1", {}});
--- a/src/core/upstream_table.cpp
+++ b/src/core/upstream_table.cpp
@@ -239,16 +239,20 @@
     }
 }
 
-std::optional<time_point> upstream_table::turn_after(time_point now,
-                                                     std::string_view service,
-                                                     std::size_t others) const
+std::optional<time_point>
+upstream_table::turn_after(time_point now, std::string_view service,
+                           std::size_t others,
+                           std::vector<upstream_index> const& excluded) const
 {
     std::optional<time_point> first;
     double turns_per_second = 0;
     for (ring_point const& point : ring(service))
     {
         upstream_row const& row = rows_[point.upstream];
-        if (!row.limit || row.leaving || row.quarantined || position_.vms == 0)
+        bool const is_excluded =
+            std::ranges::find(excluded, point.upstream) != excluded.end();
+        if (!row.limit || row.leaving || row.quarantined || is_excluded ||
+            position_.vms == 0)
         {
             continue;
         }
--- a/src/core/upstream_table.hpp
+++ b/src/core/upstream_table.hpp
@@ -14,7 +14,7 @@
 // before what peers heard earlier. Like the flags, a limit holds for one
 // incarnation.
 //
-// Cost: lookup by name is O(log upstreams); a row takes about 300 bytes.
+// Cost: lookup by name is O(log upstreams); a row takes about 400 bytes.
 #ifndef AMARANTHARCH_CORE_UPSTREAM_TABLE_HPP
 #define AMARANTHARCH_CORE_UPSTREAM_TABLE_HPP
 
@@ -132,10 +132,11 @@
     void set_fleet_position(time_point now, fleet_position position);
 
     // When this VM has a turn for `service` after `others` further requests, by
-    // the limits of its upstreams; nothing if none of them names a limit.
-    std::optional<time_point> turn_after(time_point now,
-                                         std::string_view service,
-                                         std::size_t others) const;
+    // the limits of its upstreams that are not excluded; nothing if none of
+    // them names a limit.
+    std::optional<time_point>
+    turn_after(time_point now, std::string_view service, std::size_t others,
+               std::vector<upstream_index> const& excluded) const;
 
     // When the first present upstream of `service` that is neither leaving nor
     // quarantined and has no limit takes work; nothing if there is none.
