--- a/src/core/crash_fixture_test.hpp
+++ b/src/core/crash_fixture_test.hpp
@@ -73,7 +73,8 @@
 
     crash_world(crash_world_options options,
                 std::function<bool(call const&)> fatal)
-        : options_(options), fatal_(std::move(fatal)), random_(options.seed)
+        : options_(std::move(options)), fatal_(std::move(fatal)),
+          random_(options_.seed)
     {
         for (std::size_t i = 0; i < options_.upstreams; ++i)
         {
--- a/src/core/crashing_prompt_part_test.cpp
+++ b/src/core/crashing_prompt_part_test.cpp
@@ -230,7 +230,7 @@
             }
         };
         send_for(seconds(3));
-        for (std::size_t const crashed : {8, 16, 12})
+        for (std::size_t const crashed : {8u, 16u, 12u})
         {
             world.crash_at_once(crashed);
             send_for(seconds(6));
--- a/src/core/limited_upstream_test.cpp
+++ b/src/core/limited_upstream_test.cpp
@@ -8,6 +8,7 @@
 #include <cstdlib>
 #include <map>
 #include <string>
+#include <utility>
 
 namespace amarantharch
 {
@@ -71,7 +72,7 @@
 {
 public:
     explicit limited_world(test::crash_world_options options)
-        : options_(with_limits(options)),
+        : options_(with_limits(std::move(options))),
           world(options_, [](call const&) { return false; })
     {
     }
