A fatal prompt part is found as soon where its requests wait long for answers

A part that all crashes within two seconds have needs no other reason for any of them, so only crashes of one moment (100 ms) count together there. Crashes without any part are told to peers, too, as they show another reason.

--- a/src/core/crashing_prompt_part_test.cpp
+++ b/src/core/crashing_prompt_part_test.cpp
@@ -180,6 +180,31 @@
     }
 }
 
+// Many fatal requests are in flight at several engines when the first of these
+// crashes.
+BOOST_AUTO_TEST_CASE(are_not_sent_any_more_though_answers_begin_late)
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed)
+    {
+        test::crash_world_options options = engines(seed);
+        options.vms = 9;
+        options.first_byte = milliseconds(1'500);
+        test::crash_world world(options, has_fatal_part);
+        prompts make(world);
+        for (auto round = 0; round < seconds(20) / milliseconds(40); ++round)
+        {
+            world.send(world.pick(options.vms), "fatal",
+                       make.with(first_part_base, fatal_part));
+            world.send(world.pick(options.vms), "sound",
+                       make.with(make.any_first(), make.any_second()));
+            world.run(milliseconds(40));
+        }
+        BOOST_TEST(late_arrivals(world) <= allowed_arrivals,
+                   "seed " << seed << ": " << late_arrivals(world) << " late, "
+                           << world.crashes().size() << " crashes");
+    }
+}
+
 BOOST_AUTO_TEST_CASE(are_not_sent_by_a_vm_that_has_started_since)
 {
     test::crash_world world(engines(1), has_fatal_part);
--- a/src/core/prompt_part_quarantine.cpp
+++ b/src/core/prompt_part_quarantine.cpp
@@ -160,7 +160,11 @@
                       { return !add(now, crash, each.first, each.second); });
         std::erase_if(added.in_flight_us, [&](auto const& each)
                       { return !added.parts.contains(each.first); });
-        if (!added.parts.empty())
+        bool const is_new_crash =
+            add_crash(now - std::clamp(duration(crash.age_us), duration::zero(),
+                                       options_.retention),
+                      crash.crash);
+        if (is_new_crash || !added.parts.empty())
         {
             new_crashes_.push_back({now, std::move(added)});
         }
@@ -219,6 +223,20 @@
     return state;
 }
 
+// True if the crash was not known.
+bool prompt_part_quarantine::add_crash(time_point crashed_at,
+                                       std::uint64_t crash)
+{
+    auto const [known, is_new] = crashes_.try_emplace(crash, crashed_at);
+    known->second = std::min(known->second, crashed_at);
+    if (crashes_.size() > options_.max_crashes)
+    {
+        crashes_.erase(std::ranges::min_element(
+            crashes_, {}, &decltype(crashes_)::value_type::second));
+    }
+    return is_new;
+}
+
 bool prompt_part_quarantine::add(time_point now, part_crash const& crash,
                                  std::uint64_t part, std::uint32_t place)
 {
@@ -324,18 +342,36 @@
     }
     std::ranges::sort(valid, {}, &mark::crashed_at);
     std::size_t count = 0;
-    time_point next_sending{}; // of a request at the next crash that counts
+    time_point next_begin{}; // of the interval of the next crash that counts
     for (mark const* const each : valid)
     {
-        if (count == 0 || each->sent_at >= next_sending)
+        time_point const begin = is_in_all_crashes_near(r, each->crashed_at)
+                                     ? each->crashed_at
+                                     : each->sent_at;
+        if (count == 0 || begin >= next_begin)
         {
             ++count;
-            next_sending = each->crashed_at + options_.min_separation;
+            next_begin = each->crashed_at + options_.min_separation;
         }
     }
     return count;
 }
 
+// Whether the part was in flight at all crashes within max_interval.
+bool prompt_part_quarantine::is_in_all_crashes_near(row const& r,
+                                                    time_point crashed_at) const
+{
+    return std::ranges::none_of(
+        crashes_,
+        [&](auto const& crash)
+        {
+            auto const& [id, at] = crash;
+            return !r.marks.contains(id) &&
+                   at >= crashed_at - options_.max_interval &&
+                   at <= crashed_at + options_.max_interval;
+        });
+}
+
 time_point prompt_part_quarantine::next_trial(std::uint64_t part,
                                               row const& r) const
 {
@@ -357,6 +393,8 @@
         return;
     }
     next_expiry_ = now + expiry_interval;
+    std::erase_if(crashes_, [&](auto const& each)
+                  { return now - each.second > options_.retention; });
     for (auto found = rows_.begin(); found != rows_.end();)
     {
         row& r = found->second;
--- a/src/core/prompt_part_quarantine.hpp
+++ b/src/core/prompt_part_quarantine.hpp
@@ -16,12 +16,15 @@
 //
 // Many engines that crash at one moment, as with the loss of a rack, are one
 // sign and not many: whatever was in flight then is marked at several of them.
-// Two crashes are independent signs about a part if its request at the later
-// one was sent after the earlier one. Each mark therefore holds the interval
-// from the sending of the request to the crash, of at most `max_interval`, and
-// the number of independent crashes is the greatest number of marks whose
-// intervals are disjoint (interval scheduling by earliest end). VMs send each
-// other ages and lengths of intervals, as their clocks may differ.
+// A mark therefore holds the interval from the sending of the request to the
+// crash, of at most `max_interval`, and the number of independent crashes is
+// the greatest number of marks whose intervals are disjoint (interval
+// scheduling by earliest end): a request that was sent after the one crash and
+// was there at the other. Where all crashes of the last `max_interval` have the
+// part, none of them needs another reason, and only those of one moment count
+// together; so a fatal part is found as soon where its requests wait long for
+// their answers. VMs send each other ages and lengths of intervals, as their
+// clocks may differ.
 //
 // Why it finds the right part: the fatal part is in every crash that it causes
 // and its marks are never voided, so no part has marks of these crashes that it
@@ -37,8 +40,9 @@
 // became known.
 //
 // Cost: a decision is O(parts of the prompt) while none of them is marked, else
-// O(marked parts). A crash adds a few dozen parts; those whose last mark is
-// oldest are dropped beyond `max_parts`.
+// O(marked parts), and O(marks * crashes) for a part with `min_crashes` marks.
+// A crash adds a few dozen parts; those whose last mark is oldest are dropped
+// beyond `max_parts`.
 #ifndef AMARANTHARCH_CORE_PROMPT_PART_QUARANTINE_HPP
 #define AMARANTHARCH_CORE_PROMPT_PART_QUARANTINE_HPP
 
@@ -64,9 +68,11 @@
     std::string vm;
     std::size_t min_crashes = 3; // independent ones
     std::size_t certain_crashes = 5;
-    // Longest time before a crash in which another one counts with it as one.
+    // Longest time before a crash in which another one counts with it as one,
+    // and in which crashes without the part are looked for.
     duration max_interval = std::chrono::seconds(2);
-    // Between a crash and a sending after it, for the delay of messages.
+    // Between a crash and the next interval. VMs see crashes of one moment at
+    // times that differ by the delay of messages.
     duration min_separation = std::chrono::milliseconds(100);
     duration trial_interval = std::chrono::seconds(2);
     // Trials are spread over this many intervals, or one for each VM if there
@@ -74,6 +80,7 @@
     std::uint32_t trial_turns = 8;
     duration retention = std::chrono::minutes(10);
     std::size_t max_parts = 4'000;
+    std::size_t max_crashes = 1'000;
     std::size_t max_marks_per_part = 64;
 };
 
@@ -219,6 +226,7 @@
         part_crash crash;
     };
 
+    bool add_crash(time_point crashed_at, std::uint64_t crash);
     bool add(time_point now, part_crash const& crash, std::uint64_t part,
              std::uint32_t place);
     bool clear(time_point now, std::uint64_t part, std::uint64_t crash);
@@ -226,12 +234,15 @@
                          std::uint64_t part, row const& part_row) const;
     static std::size_t valid_marks(row const& r);
     std::size_t independent_crashes(row const& r) const;
+    bool is_in_all_crashes_near(row const& r, time_point crashed_at) const;
     time_point next_trial(std::uint64_t part, row const& r) const;
     void evict_oldest_parts();
 
     prompt_part_quarantine_options options_;
     fleet_position position_;
     std::map<std::uint64_t, row> rows_; // by part
+    // All crashes and when they were, also those without any part.
+    std::map<std::uint64_t, time_point> crashes_;
     // New since the last take_changes().
     std::vector<new_crash> new_crashes_;
     std::vector<part_clearance> new_clearances_;
--- a/src/core/prompt_part_quarantine_test.cpp
+++ b/src/core/prompt_part_quarantine_test.cpp
@@ -156,6 +156,29 @@
     BOOST_TEST(subject.is_refused(fatal));
 }
 
+BOOST_FIXTURE_TEST_CASE(is_found_though_its_requests_were_sent_before,
+                        quarantined_parts)
+{
+    for (int i = 0; i < 3; ++i)
+    {
+        now += milliseconds(300);
+        crash_engine({fatal}, seconds(2));
+    }
+    BOOST_TEST(subject.is_refused(fatal));
+}
+
+BOOST_FIXTURE_TEST_CASE(is_not_found_by_those_beside_crashes_without_it,
+                        quarantined_parts)
+{
+    for (int i = 0; i < 3; ++i)
+    {
+        now += milliseconds(300);
+        crash_engine({fatal}, seconds(2));
+        crash_engine({}, seconds(2));
+    }
+    BOOST_TEST(!subject.is_refused(fatal));
+}
+
 BOOST_AUTO_TEST_SUITE(and_then_in_an_answer)
 
 BOOST_FIXTURE_TEST_CASE(is_free_again, quarantined_parts)
