--- a/src/core/crashing_prompt_part_test.cpp
+++ b/src/core/crashing_prompt_part_test.cpp
@@ -205,6 +205,39 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(are_not_sent_any_more_while_engines_crash_without_them_too)
+{
+    for (std::uint64_t seed = 1; seed <= 8; ++seed)
+    {
+        test::crash_world_options options = engines(seed);
+        options.vms = 9;
+        options.upstreams = 18;
+        options.slots = 24;
+        options.events = 10;
+        options.first_byte = milliseconds(1'000);
+        test::crash_world world(options, has_fatal_part);
+        prompts make(world);
+        for (auto round = 0; round < seconds(20) / milliseconds(20); ++round)
+        {
+            if (round % 2 == 0)
+            {
+                world.send(world.pick(options.vms), "fatal",
+                           make.with(first_part_base, fatal_part));
+            }
+            world.send(world.pick(options.vms), "sound",
+                       make.with(make.any_first(), make.any_second()));
+            if (round % 25 == 0)
+            {
+                world.crash_any();
+            }
+            world.run(milliseconds(20));
+        }
+        BOOST_TEST(late_arrivals(world) <= allowed_arrivals,
+                   "seed " << seed << ": " << late_arrivals(world) << " late, "
+                           << world.crashes().size() << " crashes");
+    }
+}
+
 BOOST_AUTO_TEST_CASE(are_not_sent_by_a_vm_that_has_started_since)
 {
     test::crash_world world(engines(1), has_fatal_part);
--- a/src/core/prompt_part_quarantine.hpp
+++ b/src/core/prompt_part_quarantine.hpp
@@ -70,7 +70,7 @@
     std::size_t certain_crashes = 5;
     // Longest time before a crash in which another one counts with it as one,
     // and in which crashes without the part are looked for.
-    duration max_interval = std::chrono::seconds(2);
+    duration max_interval = std::chrono::milliseconds(500);
     // Between a crash and the next interval. VMs see crashes of one moment at
     // times that differ by the delay of messages.
     duration min_separation = std::chrono::milliseconds(100);
