A fatal request is found at once though many of its runs crash together

Crashes 50 ms apart count as two where all crashes within half a second had the request, and a request that is the only one in all of its crashes is refused; so far two of them had to have nothing else in common.

--- a/src/core/crashing_request_test.cpp
+++ b/src/core/crashing_request_test.cpp
@@ -115,6 +115,34 @@
     }
 }
 
+// It is in flight at all upstreams when the first of them crashes.
+BOOST_AUTO_TEST_CASE(is_not_sent_any_more_though_it_runs_long_and_comes_often)
+{
+    for (std::size_t const vms : {4u, 9u, 40u})
+    {
+        for (std::uint64_t seed = 1; seed <= 4; ++seed)
+        {
+            test::crash_world_options options;
+            options.vms = vms;
+            options.first_byte = milliseconds(400);
+            options.seed = seed;
+            test::crash_world world(options, is_fatal);
+            for (auto round = 0; round < seconds(30) / milliseconds(40);
+                 ++round)
+            {
+                world.send(world.pick(vms), "fatal", lookup("/fatal"));
+                world.send(world.pick(vms), "sound",
+                           lookup("/s" + std::to_string(world.pick(30))));
+                world.run(milliseconds(40));
+            }
+            BOOST_TEST(late_arrivals(world) <= allowed_arrivals,
+                       vms << " VMs, seed " << seed << ": "
+                           << late_arrivals(world) << " late, "
+                           << world.crashes().size() << " crashes");
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(is_not_sent_by_a_vm_that_has_started_since)
 {
     test::crash_world world({}, is_fatal);
--- a/src/core/quarantine.cpp
+++ b/src/core/quarantine.cpp
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <cstdlib>
 #include <utility>
 
 namespace amarantharch
@@ -101,12 +102,16 @@
     {
         return quarantine_decision::hold;
     }
+    if (is_only_common_suspect(now, marks))
+    {
+        return quarantine_decision::refuse;
+    }
     for (auto const& a : marks)
     {
         for (auto const& b : marks)
         {
             if (a.crash < b.crash && are_independent(a, b) &&
-                is_only_common_suspect(now, a, b))
+                is_only_common_suspect(now, {a, b}))
             {
                 return quarantine_decision::refuse;
             }
@@ -277,28 +282,57 @@
     return mark.alone && crashes_.at(mark.crash).size() == 1;
 }
 
+// Whether the request was in flight at all crashes within max_interval.
+bool quarantine::was_in_all_crashes_near(crash_mark const& mark) const
+{
+    auto const is_near = [&](std::int64_t time_us)
+    {
+        return std::abs(time_us - mark.time_us) <=
+               options_.max_interval.count();
+    };
+    return std::ranges::all_of(
+        crashes_,
+        [&](auto const& crash)
+        {
+            std::set<fingerprint> const& requests = crash.second;
+            return requests.contains(mark.request_fingerprint) ||
+                   std::ranges::none_of(
+                       requests,
+                       [&](fingerprint request) {
+                           return is_near(
+                               rows_.at(request).marks.at(crash.first).time_us);
+                       });
+        });
+}
+
 bool quarantine::are_independent(crash_mark const& a, crash_mark const& b) const
 {
     crash_mark const& earlier = a.time_us <= b.time_us ? a : b;
     crash_mark const& later = a.time_us <= b.time_us ? b : a;
+    std::int64_t const between = later.time_us - earlier.time_us;
     std::int64_t const interval = std::clamp<std::int64_t>(
         later.in_flight_us, 0, options_.max_interval.count());
-    return later.time_us - interval > earlier.time_us;
+    return between > interval || (between >= options_.min_separation.count() &&
+                                  was_in_all_crashes_near(later));
 }
 
-// Whether no other suspect was in both crashes.
-bool quarantine::is_only_common_suspect(time_point now, crash_mark const& a,
-                                        crash_mark const& b) const
+// Whether no other suspect was in all of these crashes of one request.
+bool quarantine::is_only_common_suspect(
+    time_point now, std::vector<crash_mark> const& marks) const
 {
-    auto const& in_a = crashes_.at(a.crash);
-    auto const& in_b = crashes_.at(b.crash);
-    return std::none_of(in_a.begin(), in_a.end(),
-                        [&](fingerprint other)
-                        {
-                            return other != a.request_fingerprint &&
-                                   in_b.contains(other) &&
-                                   !valid_marks(now, other).empty();
-                        });
+    auto const is_common = [&](fingerprint other)
+    {
+        return std::ranges::all_of(
+            marks, [&](crash_mark const& mark)
+            { return crashes_.at(mark.crash).contains(other); });
+    };
+    return std::ranges::none_of(
+        crashes_.at(marks.front().crash),
+        [&](fingerprint other)
+        {
+            return other != marks.front().request_fingerprint &&
+                   is_common(other) && !valid_marks(now, other).empty();
+        });
 }
 
 bool quarantine::expired(time_point now, std::int64_t time_us) const
--- a/src/core/quarantine.hpp
+++ b/src/core/quarantine.hpp
@@ -9,12 +9,16 @@
 // suspect and is run alone from then on. A fingerprint is quarantined after two
 // crashes if either
 //   - it was alone in one of them, or
-//   - it is the only one that was in both, and at the later one it was sent
-//     after the earlier one. This is evaluated only `settle_time` after the
-//     later crash, when the marks of all VMs have arrived; until then the
-//     request is held.
+//   - it is the only one that was in two that are independent, or the only one
+//     that was in all of its crashes, of which two are independent. This is
+//     evaluated only `settle_time` after the latest crash, when the marks of
+//     all VMs have arrived; until then the request is held.
 // Upstreams that crash at one moment, as with the loss of a rack, are one sign
-// and not several: a request that many send was in flight at each of them.
+// and not several: a request that many send was in flight at each of them. Two
+// crashes are independent if the request was sent to the later one after the
+// earlier one, or if more than `max_interval` lies between them, or if all
+// crashes that near had the request, so that none of them needs another reason,
+// and they were not at one moment.
 // The request that causes the crashes is in flight in each of them. After the
 // first crash it runs alone, so it is alone in the second; if a VM had not yet
 // learnt of the first crash and ran it among others, the second rule applies. A
@@ -107,8 +111,9 @@
 {
     duration retention = std::chrono::hours(1);
     duration settle_time = std::chrono::seconds(2);
-    // Longest time before a crash in which another one counts with it as one.
-    duration max_interval = std::chrono::seconds(2);
+    duration max_interval = std::chrono::milliseconds(500);
+    // VMs see crashes of one moment at times that differ by less than this.
+    duration min_separation = std::chrono::milliseconds(50);
     // Beyond it, the fingerprint whose latest mark or clearance is oldest is
     // dropped.
     std::size_t max_fingerprints = 10'000;
@@ -175,11 +180,10 @@
     std::vector<crash_mark> valid_marks(time_point now,
                                         fingerprint request_fingerprint) const;
     bool was_alone(crash_mark const& mark) const;
-    // Whether the request was sent to the upstream that crashed later after the
-    // other one had crashed.
+    bool was_in_all_crashes_near(crash_mark const& mark) const;
     bool are_independent(crash_mark const& a, crash_mark const& b) const;
-    bool is_only_common_suspect(time_point now, crash_mark const& a,
-                                crash_mark const& b) const;
+    bool is_only_common_suspect(time_point now,
+                                std::vector<crash_mark> const& marks) const;
     bool expired(time_point now, std::int64_t time_us) const;
     void drop_oldest_marks(row& r);
     void evict_oldest_fingerprints();
