--- a/src/core/prompt_part_quarantine.hpp
+++ b/src/core/prompt_part_quarantine.hpp
@@ -108,7 +108,7 @@
 std::uint64_t crash_number(crash_id const& crash);
 
 // Parts that were in flight without an answer at a crash. VMs of earlier
-// versions send neither times; such marks count like one crash only.
+// versions send no times; each of their marks gets the longest interval.
 struct part_crash
 {
     std::uint64_t crash = 0;
