Failing tests: VMs partitioned from all upstreams are served as well as others

The fleet of crash_fixture_test learns partitions: connections that hang, are reset, or live on while new ones are refused.

--- a/src/core/crash_fixture_test.hpp
+++ b/src/core/crash_fixture_test.hpp
@@ -1,4 +1,5 @@
-// A fleet of nodes before simulated upstreams that some requests crash.
+// A fleet of nodes before simulated upstreams that some requests crash and from
+// which VMs can be partitioned.
 //
 // An upstream begins its answer `first_byte` after an attempt has reached it.
 // An attempt with a fatal request crashes it then: the connections of all its
@@ -25,9 +26,26 @@
 namespace amarantharch::test
 {
 
+// What becomes of a partitioned VM's connections to upstreams. The fleet's own
+// network is sound.
+enum class link_loss : std::uint8_t
+{
+    silent,      // nothing passes; what is under way passes when it ends
+    reset,       // connections are reset, new ones refused
+    refuses_new, // connections live on, new ones are refused
+};
+
+inline constexpr name_table<link_loss, 3> link_loss_names{{
+    {link_loss::silent, "silent"},
+    {link_loss::reset, "reset"},
+    {link_loss::refuses_new, "refuses_new"},
+}};
+
 struct crash_world_options
 {
     std::size_t vms = 4;
+    std::size_t domains = 0; // of VMs, in turn; 0: one for each VM
+    bool idempotent = true;  // requests
     std::size_t upstreams = 4;
     upstream_kind kind = upstream_kind::plain;
     std::uint32_t slots = 6;
@@ -57,6 +75,18 @@
     std::string upstream;
 };
 
+// A caller's request and how it ended.
+struct caller_attempt
+{
+    std::size_t vm = 0;
+    time_point sent;
+    std::optional<time_point> ended; // empty: still waiting
+    bool served = false;
+    verdict run = verdict::not_run; // if refused
+    std::size_t runs = 0;           // upstreams that began to run it
+    std::string events;             // the answer's bytes, of event streams
+};
+
 class crash_world
 {
 public:
@@ -119,6 +149,7 @@
         request.id = fmt::format("r{}", next_request_++);
         kinds_[request.id] = kind;
         ++tallies_[kind].sent;
+        callers_[request.id] = {to, now_, {}, false, verdict::not_run, 0, {}};
         nodes_[to]->handle(now_, call_received{std::move(request)});
     }
 
@@ -150,6 +181,85 @@
         }
     }
 
+    // Partitions a VM from all upstreams.
+    void partition(std::size_t vm, link_loss how)
+    {
+        links_[vm] = how;
+        if (how == link_loss::silent)
+        {
+            return;
+        }
+        // Idle ones are closed by the upstreams soon and not made again.
+        std::erase_if(kept_, [vm](auto const& each)
+                      { return each.first.first == vm; });
+        if (how == link_loss::refuses_new)
+        {
+            return;
+        }
+        for (auto& [name, row] : upstreams_)
+        {
+            std::erase_if(row.running,
+                          [&](auto const& each)
+                          {
+                              if (each.first.first == vm)
+                              {
+                                  lose(each.first.second, each.second);
+                              }
+                              return each.first.first == vm;
+                          });
+        }
+    }
+
+    // Ends the partition; what was held up passes.
+    void heal(std::size_t vm)
+    {
+        links_.erase(vm);
+        for (start_attempt const& each : std::exchange(held_starts_[vm], {}))
+        {
+            arrive(vm, each);
+        }
+        for (event& each : std::exchange(held_events_[vm], {}))
+        {
+            events_.emplace_back(vm, std::move(each));
+        }
+    }
+
+    // How often a VM concluded that an upstream had crashed.
+    std::size_t concluded_crashes() const
+    {
+        return concluded_crashes_;
+    }
+
+    // All callers' requests, by id.
+    std::map<request_id, caller_attempt> const& callers() const
+    {
+        return callers_;
+    }
+
+    // The caller of this request leaves.
+    void leave(request_id const& request)
+    {
+        nodes_[callers_.at(request).vm]->handle(now_, call_abandoned{request});
+    }
+
+    // Attempts that upstreams are at work on.
+    std::size_t running(request_id const& request) const
+    {
+        std::size_t count = 0;
+        for (auto const& [name, row] : upstreams_)
+        {
+            count += static_cast<std::size_t>(std::ranges::count_if(
+                row.running, [&](auto const& each)
+                { return each.second.request.id == request; }));
+        }
+        return count;
+    }
+
+    node& vm_at(std::size_t i)
+    {
+        return *nodes_[i];
+    }
+
     // Replaces a VM by one that knows nothing.
     void restart_vm(std::size_t i)
     {
@@ -194,6 +304,12 @@
             {
                 deliver(message);
             }
+            for (auto due = later_.begin();
+                 due != later_.end() && due->first <= now_;
+                 due = later_.erase(due))
+            {
+                events_.push_back(due->second);
+            }
             for (auto const& [to, what] : std::exchange(events_, {}))
             {
                 nodes_[to]->handle(now_, what);
@@ -223,6 +339,39 @@
         std::map<std::pair<std::size_t, attempt_id>, arrival> running;
     };
 
+    static constexpr duration connect_timeout = std::chrono::milliseconds(300);
+
+    // The domain of a VM.
+    std::string domain(std::size_t i) const
+    {
+        return fmt::format("domain-{}",
+                           options_.domains > 0 ? i % options_.domains : i);
+    }
+
+    std::optional<link_loss> link_of(std::size_t i) const
+    {
+        auto const found = links_.find(i);
+        return found == links_.end() ? std::nullopt
+                                     : std::optional(found->second);
+    }
+
+    // Tells a VM what an upstream's connection shows, if it passes.
+    void tell(std::size_t to, event what)
+    {
+        link_of(to) == link_loss::silent
+            ? held_events_[to].push_back(std::move(what))
+            : static_cast<void>(events_.emplace_back(to, std::move(what)));
+    }
+
+    // The connection of a running attempt is lost.
+    void lose(attempt_id attempt, arrival const& each)
+    {
+        bool const has_head = each.events > 0 || now_ >= each.next_byte_at;
+        tell(each.vm,
+             upstream_failed{attempt, verdict::may_have_run,
+                             has_head ? "answer_cut" : "connection_lost"});
+    }
+
     static std::string vm(std::size_t i)
     {
         return fmt::format("vm-{}", i);
@@ -246,8 +395,8 @@
         members_listed listed;
         for (std::size_t i = 0; i < options_.vms; ++i)
         {
-            listed.members.push_back({vm(i), fmt::format("10.0.0.{}:1", i),
-                                      fmt::format("domain-{}", i)});
+            listed.members.push_back(
+                {vm(i), fmt::format("10.0.0.{}:1", i), domain(i)});
         }
         nodes_[to]->handle(now_, listed);
         for (auto const& [name, row] : upstreams_)
@@ -271,7 +420,7 @@
         options.control.vm = vm(i);
         options.control.incarnation = incarnation;
         options.control.address = fmt::format("10.0.0.{}:1", i);
-        options.control.failure_domain = fmt::format("domain-{}", i);
+        options.control.failure_domain = domain(i);
         options.control.seed = i + 1;
         options.control.uses_log = false;
         options.usage_interval = std::chrono::milliseconds(300);
@@ -283,6 +432,7 @@
         route.event_stream = options_.kind == upstream_kind::engine;
         route.resumable = route.event_stream;
         route.max_attempts = options_.max_attempts;
+        route.idempotent = options_.idempotent;
         options.settings_tables.routes.push_back(route);
         return std::make_unique<node>(
             std::move(options), [this, i](command const& what)
@@ -294,55 +444,99 @@
     {
     }
 
+    void carry_out(std::size_t, record_timeline const& what)
+    {
+        concluded_crashes_ += what.kind == "upstream_crashed" ? 1 : 0;
+    }
+
     void carry_out(std::size_t from, send_to_peer const& what)
     {
         messages_.push_back(what.message);
-        messages_.back().vm = vm(from) + ">" + what.message.vm;
+        messages_.back().vm = fmt::format("{}>{}", vm(from), what.message.vm);
     }
 
     void carry_out(std::size_t from, start_attempt const& what)
     {
-        upstream& target = upstreams_.at(what.address);
-        if (now_ < target.down_until)
+        std::size_t& kept = kept_[{from, what.address}];
+        bool const reused = kept > 0;
+        kept -= reused ? 1 : 0;
+        auto const link = link_of(from);
+        if (link == link_loss::silent)
+        {
+            reused ? held_starts_[from].push_back(what)
+                   : static_cast<void>(later_.emplace(
+                         now_ + connect_timeout,
+                         std::pair(from, upstream_failed{what.attempt,
+                                                         verdict::not_run,
+                                                         "connect_timeout"})));
+            return;
+        }
+        bool const refused =
+            now_ < upstreams_.at(what.address).down_until || (link && !reused);
+        if (refused)
         {
             events_.emplace_back(from,
                                  upstream_failed{what.attempt, verdict::not_run,
                                                  "connect_failed"});
             return;
         }
+        arrive(from, what);
+    }
+
+    void arrive(std::size_t from, start_attempt const& what)
+    {
         tallies_[kinds_[what.request.id]].arrivals.push_back(now_);
         arrivals_.push_back({now_, from, what.address});
+        ++callers_[what.request.id].runs;
         bool const lost =
             std::bernoulli_distribution(options_.lost_answers)(random_);
-        target.running[{from, what.attempt}] = {
+        upstreams_.at(what.address).running[{from, what.attempt}] = {
             from, what.request, now_ + options_.first_byte, 0, lost};
     }
 
     void carry_out(std::size_t from, check_upstream const& what)
     {
-        events_.emplace_back(
-            from,
-            upstream_checked{what.upstream,
-                             now_ < upstreams_.at(what.address).down_until});
+        auto const link = link_of(from);
+        bool const refused =
+            link || now_ < upstreams_.at(what.address).down_until;
+        if (link == link_loss::silent)
+        {
+            later_.emplace(
+                now_ + connect_timeout,
+                std::pair(from, upstream_checked{what.upstream, false}));
+            return;
+        }
+        events_.emplace_back(from, upstream_checked{what.upstream, refused});
     }
 
     void carry_out(std::size_t from, cancel_attempt const& what)
     {
+        std::erase_if(held_starts_[from], [&](start_attempt const& each)
+                      { return each.attempt == what.attempt; });
         for (auto& [name, row] : upstreams_)
         {
             row.running.erase({from, what.attempt});
         }
     }
 
+    void carry_out(std::size_t, answer_piece const& what)
+    {
+        callers_[what.request].events += what.bytes;
+    }
+
     void carry_out(std::size_t, answer_end const& what)
     {
         ++tallies_[kinds_[what.request]].answered;
+        callers_[what.request].ended = now_;
+        callers_[what.request].served = true;
     }
 
     void carry_out(std::size_t, answer_refusal const& what)
     {
         tally& row = tallies_[kinds_[what.request]];
         ++row.refused;
+        callers_[what.request].ended = now_;
+        callers_[what.request].run = what.why.run;
         refusals_[kinds_[what.request]].push_back(what.why);
         row.quarantined += what.why.reason == "quarantined" ||
                                    what.why.reason == "crash_suspected" ||
@@ -409,11 +603,7 @@
         row.down_until = now_ + options_.down_time;
         for (auto const& [key, each] : std::exchange(row.running, {}))
         {
-            bool const has_head = each.events > 0 || now_ >= each.next_byte_at;
-            events_.emplace_back(
-                each.vm,
-                upstream_failed{key.second, verdict::may_have_run,
-                                has_head ? "answer_cut" : "connection_lost"});
+            lose(key.second, each);
         }
     }
 
@@ -422,28 +612,26 @@
     {
         if (each.is_lost)
         {
-            events_.emplace_back(each.vm,
-                                 upstream_failed{attempt, verdict::may_have_run,
-                                                 "connection_lost"});
+            tell(each.vm, upstream_failed{attempt, verdict::may_have_run,
+                                          "connection_lost"});
             return true;
         }
         if (each.events == 0)
         {
-            events_.emplace_back(
-                each.vm,
-                upstream_head{attempt, 200, options_.answer_headers(from)});
+            tell(each.vm,
+                 upstream_head{attempt, 200, options_.answer_headers(from)});
             answers_.push_back({now_, each.vm, from});
         }
         ++each.events;
-        events_.emplace_back(
-            each.vm, upstream_piece{attempt, fmt::format("id: {}\ndata: x\n\n",
-                                                         each.events)});
+        tell(each.vm, upstream_piece{attempt, fmt::format("id: {}\ndata: x\n\n",
+                                                          each.events)});
         each.next_byte_at = now_ + options_.event_interval;
         if (each.events < options_.events)
         {
             return false;
         }
-        events_.emplace_back(each.vm, upstream_end{attempt});
+        tell(each.vm, upstream_end{attempt});
+        ++kept_[{each.vm, from}];
         return true;
     }
 
@@ -462,6 +650,15 @@
     std::vector<upstream_arrival> answers_;
     std::map<std::string, std::vector<refusal>> refusals_;
     std::set<std::size_t> cut_off_;
+    std::map<request_id, caller_attempt> callers_;
+    std::size_t concluded_crashes_ = 0;
+    std::multimap<time_point, std::pair<std::size_t, event>> later_;
+    // The links of partitioned VMs, and what silent ones hold up.
+    std::map<std::size_t, link_loss> links_;
+    std::map<std::size_t, std::vector<start_attempt>> held_starts_;
+    std::map<std::size_t, std::vector<event>> held_events_;
+    // Idle connections, by VM and upstream.
+    std::map<std::pair<std::size_t, std::string>, std::size_t> kept_;
     std::uint64_t next_request_ = 1;
     std::uint64_t incarnation_ = 1; // of the VM started last
 };
--- a/src/core/limited_upstream_test.cpp
+++ b/src/core/limited_upstream_test.cpp
@@ -94,7 +94,7 @@
             {
                 call request;
                 request.method = "GET";
-                request.target = "/" + std::to_string(next_target_++ % 50);
+                request.target = fmt::format("/{}", next_target_++ % 50);
                 request.metadata.time_limit = seconds(2);
                 world.send(world.pick(options_.vms), "sound",
                            std::move(request));
