VMs that cannot reach the upstreams have other VMs run their attempts

Cause: a request had one way only, the connections of the VM that took it.

upstream_reach tells a partition from failing upstreams by new connections to upstreams by chance, and which upstreams are reached again. While it lasts, attempts at the others go through a VM that relay_choice picks; attempt_relay runs them there, unchanged, and passes answers back. All decisions stay with the VM that took the request, so quota, retries, turns at limits and versions count once; a relaying VM never passes an attempt on, declines as not run what it cannot send, and heeds what an upstream says of itself. Connections between VMs go to the TCP port beside their UDP port; only VMs of the member list may use it. Requests on dead connections that may be repeated are sent again at once; a VM without any way refuses at once.

Failed before and pass now: four cases of vms_partitioned_from_all_upstreams by size of the partition, and the one where all VMs are cut.

--- a/src/app/server.cpp
+++ b/src/app/server.cpp
@@ -43,6 +43,10 @@
 // The upstreams' connections are limited over all VMs.
 constexpr std::size_t platform_idle_connections = 16;
 
+// What this VM adds to the head of an attempt for the relaying VM.
+constexpr std::uint32_t relay_header_bytes = 2'048;
+constexpr int relay_failed_status = 503;
+
 duration since_boot()
 {
     timespec elapsed{};
@@ -84,6 +88,14 @@
     return limits;
 }
 
+// Of attempts of other VMs: their fields come beside those of callers.
+http_server_limits relay_limits(settings const& options)
+{
+    http_server_limits limits = caller_limits(options);
+    limits.header_bytes += relay_header_bytes;
+    return limits;
+}
+
 node_options options_of(settings const& options, std::uint64_t incarnation)
 {
     node_options result;
@@ -107,6 +119,8 @@
         result.control.millicores = options.platform_process->millicores;
         result.duties = duties_of(*options.platform_process, incarnation);
         result.usage_interval = platform_usage_interval;
+        result.relays_attempts = true;
+        result.requests.relays.failure_domain = options.failure_domain;
     }
     return result;
 }
@@ -177,16 +191,28 @@
                 {
                     set_paused(e, false);
                 }}),
-      upstreams_({[this](exchange_id e, int status, header_list headers) {
-                      tell(upstream_head{e, status, std::move(headers)});
-                  },
+      relays_(relay_limits(options_),
+              {[this](exchange_id e, call c)
+               { receive_relayed(e, std::move(c)); },
+               [this](exchange_id e) { abandon_relayed(e); },
+               [this](exchange_id e) { set_relayed_paused(e, true); },
+               [this](exchange_id e)
+               {
+                   set_relayed_paused(e, false);
+               }}),
+      upstreams_({[this](exchange_id e, int status, header_list headers)
+                  { take_attempt_head(e, status, std::move(headers)); },
                   [this](exchange_id e, std::string bytes) {
                       tell(upstream_piece{e, std::move(bytes)});
                   },
-                  [this](exchange_id e) { tell(upstream_end{e}); },
+                  [this](exchange_id e)
+                  {
+                      at_relays_.erase(e);
+                      tell(upstream_end{e});
+                  },
                   [this](exchange_id e, verdict run, std::string reason)
                   {
-                      tell(upstream_failed{e, run, std::move(reason)});
+                      take_attempt_failure(e, run, std::move(reason));
                   }},
                  upstream_limits(options_)),
       admin_(admin_handlers()),
@@ -268,8 +294,10 @@
         datagrams_ = std::make_unique<datagram_transport>(
             options_.vm, [this](peer_message message)
             { tell(peer_message_received{std::move(message)}); });
-        return datagrams_->listen(host(options_.listen_address),
-                                  options_.peer_port);
+        QHostAddress const address = host(options_.listen_address);
+        absl::Status const bound =
+            datagrams_->listen(address, options_.peer_port);
+        return bound.ok() ? relays_.listen(address, options_.peer_port) : bound;
     }
     if (options_.tls.certificate.empty())
     {
@@ -344,7 +372,8 @@
         return;
     }
     bool const idle = present() >= listen_until_ &&
-                      callers_.connections() == 0 && node_.requests().idle();
+                      callers_.connections() == 0 && node_.requests().idle() &&
+                      node_.relayed().idle();
     if (idle || present() >= *drain_until_)
     {
         std::exchange(done_, nullptr)();
@@ -404,6 +433,84 @@
     return row.mapped();
 }
 
+// ---- Relayed attempts. ----
+
+void server::receive_relayed(exchange_id exchange, call request)
+{
+    auto target = take_relay_target(request);
+    if (!target)
+    {
+        relays_.refuse(
+            exchange, request.id,
+            {400, verdict::not_run, "no_relay_target", duration::zero()});
+        return;
+    }
+    // Its credential was replaced by the VM that sends it.
+    (void)node_.requests().api_dialect().read_call(request);
+    tell(relay_requested{exchange, relays_.source_of(exchange),
+                         *std::move(target), std::move(request)});
+}
+
+void server::abandon_relayed(exchange_id exchange)
+{
+    tell(relay_abandoned{exchange});
+}
+
+void server::set_relayed_paused(exchange_id exchange, bool paused)
+{
+    if (auto const attempt = node_.relayed().attempt_of(exchange))
+    {
+        paused ? upstreams_.pause(*attempt) : upstreams_.resume(*attempt);
+    }
+}
+
+void server::take_attempt_head(attempt_id attempt, int status,
+                               header_list headers)
+{
+    auto const failure =
+        at_relays_.contains(attempt) ? relay_failure_in(headers) : std::nullopt;
+    if (!failure)
+    {
+        tell(upstream_head{attempt, status, std::move(headers)});
+        return;
+    }
+    // at_relays_.erase(attempt); // the end of this answer is ignored
+    tell(upstream_failed{attempt, failure->run, failure->reason,
+                         failure->place});
+}
+
+void server::take_attempt_failure(attempt_id attempt, verdict run,
+                                  std::string reason)
+{
+    bool const at_relay = at_relays_.erase(attempt) > 0;
+    tell(upstream_failed{
+        attempt, run, at_relay ? "relay_" + reason : std::move(reason),
+        at_relay ? failure_place::relay : failure_place::upstream});
+}
+
+void server::carry_out(relay_answer_head const& what)
+{
+    relays_.answer_head(what.relay, what.status, what.headers);
+}
+
+void server::carry_out(relay_answer_piece const& what)
+{
+    relays_.answer_piece(what.relay, what.bytes);
+}
+
+void server::carry_out(relay_answer_end const& what)
+{
+    relays_.answer_end(what.relay);
+}
+
+// A started answer is cut, so that the other VM sees that it is not whole.
+void server::carry_out(relay_answer_failed const& what)
+{
+    what.answer_begun ? relays_.answer_abort(what.relay)
+                      : relays_.answer(what.relay, relay_failed_status,
+                                       relay_failure_headers(what.why), {});
+}
+
 // ---- The node's commands. ----
 
 void server::tell(event const& what)
@@ -431,7 +538,7 @@
 void server::carry_out(start_attempt const& what)
 {
     auto const row = callers_waiting_.find(what.request.id);
-    if (row != callers_waiting_.end())
+    if (row != callers_waiting_.end() && !node_.relayed().owns(what.attempt))
     {
         row->second.attempt = what.attempt;
     }
@@ -441,11 +548,22 @@
         timeouts = {platform_connect_timeout, duration::zero(),
                     duration::zero()};
     }
-    upstreams_.send(what.attempt, what.address, what.request, timeouts);
+    if (what.relay.empty())
+    {
+        upstreams_.send(what.attempt, what.address, what.request, timeouts);
+        return;
+    }
+    member const* const relay = node_.control().members().find(what.relay);
+    // An unknown address fails the attempt from the event loop.
+    at_relays_.insert(what.attempt);
+    upstreams_.send(what.attempt, relay == nullptr ? "" : relay->address,
+                    to_relayed(what.request, {what.upstream, what.incarnation}),
+                    timeouts);
 }
 
 void server::carry_out(cancel_attempt const& what)
 {
+    at_relays_.erase(what.attempt);
     upstreams_.cancel(what.attempt);
 }
 
@@ -570,9 +688,11 @@
 void server::carry_out(check_upstream const& what)
 {
     checks_.start(what.address, upstream_check_timeout,
-                  [this, upstream = what.upstream](connection_outcome outcome) {
+                  [this, upstream = what.upstream](connection_outcome outcome)
+                  {
                       tell(upstream_checked{
-                          upstream, outcome == connection_outcome::refused});
+                          upstream, outcome == connection_outcome::refused,
+                          outcome == connection_outcome::accepted});
                   });
 }
 
--- a/src/app/server.hpp
+++ b/src/app/server.hpp
@@ -31,6 +31,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace amarantharch
@@ -75,6 +76,15 @@
     void abandon(exchange_id exchange);
     void set_paused(exchange_id exchange, bool paused);
 
+    // Attempts that other VMs have this one run, and those that they run for
+    // this one.
+    void receive_relayed(exchange_id exchange, call request);
+    void abandon_relayed(exchange_id exchange);
+    void set_relayed_paused(exchange_id exchange, bool paused);
+    void take_attempt_head(attempt_id attempt, int status, header_list headers);
+    void take_attempt_failure(attempt_id attempt, verdict run,
+                              std::string reason);
+
     // The node.
     void tell(event const& what);
     void set_pace();
@@ -84,6 +94,10 @@
     void carry_out(answer_piece const& what);
     void carry_out(answer_end const& what);
     void carry_out(answer_refusal const& what);
+    void carry_out(relay_answer_head const& what);
+    void carry_out(relay_answer_piece const& what);
+    void carry_out(relay_answer_end const& what);
+    void carry_out(relay_answer_failed const& what);
     void carry_out(send_append const& what);
     void carry_out(send_read const& what);
     void carry_out(send_to_peer const& what);
@@ -120,6 +134,7 @@
     std::uint64_t incarnation_;
     node node_;
     http_server callers_;
+    http_server relays_; // attempts of other VMs; listens on the platform only
     http_client upstreams_;
     connection_check checks_;
     admin_server admin_;
@@ -141,6 +156,8 @@
     // callers_waiting_[r].exchange == e if and only if requests_[e] == r.
     std::map<request_id, caller_row> callers_waiting_;
     std::map<exchange_id, request_id> requests_;
+    // The attempts of this VM that another one runs.
+    std::set<attempt_id> at_relays_;
     std::map<std::string, std::string> peer_addresses_; // given to peers_
 };
 
--- a/src/core/command.hpp
+++ b/src/core/command.hpp
@@ -19,6 +19,9 @@
     std::string upstream;
     std::string address; // ip:port
     call request;
+    // The VM that is to run the attempt; empty: this one.
+    std::string relay = {};
+    std::uint64_t incarnation = 0; // of the upstream; for the relay
 };
 
 struct cancel_attempt
@@ -50,6 +53,33 @@
     refusal why;
 };
 
+// The answer to an attempt that this VM runs for another one.
+struct relay_answer_head
+{
+    relay_id relay = 0;
+    int status = 0;
+    header_list headers;
+};
+
+struct relay_answer_piece
+{
+    relay_id relay = 0;
+    std::string bytes;
+};
+
+struct relay_answer_end
+{
+    relay_id relay = 0;
+};
+
+// There is no answer, or no whole one.
+struct relay_answer_failed
+{
+    relay_id relay = 0;
+    relay_failure why;
+    bool answer_begun = false;
+};
+
 struct send_to_peer
 {
     peer_message message;
@@ -114,13 +144,13 @@
     std::string details; // "key=value" pairs separated by spaces
 };
 
-using command =
-    std::variant<start_attempt, cancel_attempt, answer_head, answer_piece,
-                 answer_end, answer_refusal, send_append, send_read,
-                 send_to_peer, read_duty_log, append_duty_record, report_usage,
-                 order_upstreams, report_version_move, read_for_others,
-                 take_reading, read_upstream_load, check_upstream,
-                 take_configuration, record_timeline>;
+using command = std::variant<
+    start_attempt, cancel_attempt, answer_head, answer_piece, answer_end,
+    answer_refusal, relay_answer_head, relay_answer_piece, relay_answer_end,
+    relay_answer_failed, send_append, send_read, send_to_peer, read_duty_log,
+    append_duty_record, report_usage, order_upstreams, report_version_move,
+    read_for_others, take_reading, read_upstream_load, check_upstream,
+    take_configuration, record_timeline>;
 
 using command_sink = std::function<void(command)>;
 
--- a/src/core/crash_fixture_test.hpp
+++ b/src/core/crash_fixture_test.hpp
@@ -424,6 +424,7 @@
         options.control.seed = i + 1;
         options.control.uses_log = false;
         options.usage_interval = std::chrono::milliseconds(300);
+        options.relays_attempts = true;
         route_spec route;
         route.name = "route";
         route.prefix = "/";
@@ -455,8 +456,59 @@
         messages_.back().vm = fmt::format("{}>{}", vm(from), what.message.vm);
     }
 
+    // The network between VMs is sound: a relayed attempt reaches its VM.
+    void relay(std::size_t from, start_attempt const& what)
+    {
+        std::size_t to = 0;
+        while (vm(to) != what.relay)
+        {
+            ++to;
+        }
+        relay_id const relay = next_relay_++;
+        relays_[relay] = {from, to, what.attempt};
+        events_.emplace_back(to,
+                             relay_requested{relay,
+                                             fmt::format("10.0.0.{}", from),
+                                             {what.upstream, what.incarnation},
+                                             what.request});
+    }
+
+    void carry_out(std::size_t, relay_answer_head const& what)
+    {
+        relay_row const& row = relays_.at(what.relay);
+        events_.emplace_back(
+            row.from, upstream_head{row.attempt, what.status, what.headers});
+    }
+
+    void carry_out(std::size_t, relay_answer_piece const& what)
+    {
+        relay_row const& row = relays_.at(what.relay);
+        events_.emplace_back(row.from, upstream_piece{row.attempt, what.bytes});
+    }
+
+    void carry_out(std::size_t, relay_answer_end const& what)
+    {
+        relay_row const& row = relays_.at(what.relay);
+        events_.emplace_back(row.from, upstream_end{row.attempt});
+        relays_.erase(what.relay);
+    }
+
+    void carry_out(std::size_t, relay_answer_failed const& what)
+    {
+        relay_row const& row = relays_.at(what.relay);
+        events_.emplace_back(row.from,
+                             upstream_failed{row.attempt, what.why.run,
+                                             what.why.reason, what.why.place});
+        relays_.erase(what.relay);
+    }
+
     void carry_out(std::size_t from, start_attempt const& what)
     {
+        if (!what.relay.empty())
+        {
+            relay(from, what);
+            return;
+        }
         std::size_t& kept = kept_[{from, what.address}];
         bool const reused = kept > 0;
         kept -= reused ? 1 : 0;
@@ -506,11 +558,19 @@
                 std::pair(from, upstream_checked{what.upstream, false}));
             return;
         }
-        events_.emplace_back(from, upstream_checked{what.upstream, refused});
+        events_.emplace_back(
+            from, upstream_checked{what.upstream, refused, !refused});
     }
 
     void carry_out(std::size_t from, cancel_attempt const& what)
     {
+        for (auto const& [id, row] : relays_)
+        {
+            if (row.from == from && row.attempt == what.attempt)
+            {
+                events_.emplace_back(row.to, relay_abandoned{id});
+            }
+        }
         std::erase_if(held_starts_[from], [&](start_attempt const& each)
                       { return each.attempt == what.attempt; });
         for (auto& [name, row] : upstreams_)
@@ -650,6 +710,15 @@
     std::vector<upstream_arrival> answers_;
     std::map<std::string, std::vector<refusal>> refusals_;
     std::set<std::size_t> cut_off_;
+    // Relayed attempts, by the id at the VM that runs them.
+    struct relay_row
+    {
+        std::size_t from = 0;
+        std::size_t to = 0;
+        attempt_id attempt = 0; // at the VM that asked
+    };
+    std::map<relay_id, relay_row> relays_;
+    relay_id next_relay_ = 1;
     std::map<request_id, caller_attempt> callers_;
     std::size_t concluded_crashes_ = 0;
     std::multimap<time_point, std::pair<std::size_t, event>> later_;
--- a/src/core/event.hpp
+++ b/src/core/event.hpp
@@ -9,6 +9,7 @@
 #include "core/log_client.hpp"
 #include "core/membership.hpp"
 #include "core/peer_message.hpp"
+#include "core/relay_fields.hpp"
 #include "core/shared_reading.hpp"
 #include "core/site.hpp"
 #include "core/upstream_table.hpp"
@@ -61,6 +62,27 @@
     attempt_id attempt;
     verdict run; // not_run only if no byte of the request was sent
     std::string reason;
+    // Of an attempt that another VM runs: whether that VM declined or lost it.
+    failure_place place = failure_place::upstream;
+};
+
+// Identifies an attempt that this VM runs for another one; unique within this
+// VM.
+using relay_id = std::uint64_t;
+
+// Another VM has this one run an attempt.
+struct relay_requested
+{
+    relay_id relay = 0;
+    std::string ip; // of the other VM
+    relay_target target;
+    call request; // as it is to be sent
+};
+
+// The other VM does not wait for the relayed attempt any more.
+struct relay_abandoned
+{
+    relay_id relay = 0;
 };
 
 // Timer event, sent every tick_interval.
@@ -98,7 +120,8 @@
 struct upstream_checked
 {
     std::string upstream;
-    bool refused = false; // the address refuses connections
+    bool refused = false;  // the address refuses connections
+    bool accepted = false; // neither: no answer in time
 };
 
 // Any source reported that an upstream is about to shut down.
@@ -199,12 +222,12 @@
 
 using event = std::variant<
     call_received, call_abandoned, upstream_head, upstream_piece, upstream_end,
-    upstream_failed, ticked, log_result, peer_message_received, members_listed,
-    upstream_reported, upstream_noticed, upstream_checked,
-    upstream_leaving_seen, routing_tables_changed, upstream_listed,
-    upstream_unlisted, version_ordered, version_move_ended, streams_read,
-    duty_log_read, duty_log_gone, duty_log_failed, duty_record_appended,
-    usage_reported, order_answered, stop_requested>;
+    upstream_failed, relay_requested, relay_abandoned, ticked, log_result,
+    peer_message_received, members_listed, upstream_reported, upstream_noticed,
+    upstream_checked, upstream_leaving_seen, routing_tables_changed,
+    upstream_listed, upstream_unlisted, version_ordered, version_move_ended,
+    streams_read, duty_log_read, duty_log_gone, duty_log_failed,
+    duty_record_appended, usage_reported, order_answered, stop_requested>;
 
 } // namespace amarantharch
 
--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -12,6 +12,7 @@
       requests_(options_.requests, emit,
                 [this](std::string payload)
                 { append_request_record(std::move(payload)); }),
+      relayed_({}, emit),
       exchange_({options_.control.vm, options_.control.failure_domain,
                  options_.control.incarnation, options_.usage_interval,
                  !options_.control.uses_log, options_.duties.enabled},
@@ -21,6 +22,10 @@
     requests_.set_routing_tables(time_point(), std::make_shared<routing_tables>(
                                                    options_.settings_tables));
     requests_.requests_ledger().set_reachable({}, options_.control.uses_log);
+    if (options_.relays_attempts)
+    {
+        requests_.set_members(control_.members());
+    }
 }
 
 control_plane_handlers node::control_handlers()
@@ -72,7 +77,9 @@
 {
     control_.tick(now);
     requests_.tick(now);
+    relayed_.tick(now, requests_);
     exchange_.set_holds_duties(duties_.holds());
+    exchange_.set_partitioned(requests_.reach().partitioned());
     exchange_.tick(now, control_.members(), requests_);
     membership const& members = control_.members();
     duties_.tick(now, members.is_selected_for(duty_purpose, duty_watchers),
--- a/src/core/node.hpp
+++ b/src/core/node.hpp
@@ -15,6 +15,7 @@
 #ifndef AMARANTHARCH_CORE_NODE_HPP
 #define AMARANTHARCH_CORE_NODE_HPP
 
+#include "core/attempt_relay.hpp"
 #include "core/command.hpp"
 #include "core/control_plane.hpp"
 #include "core/event.hpp"
@@ -41,6 +42,8 @@
     fleet_duties_options duties;
     // Time between usage messages to peers.
     duration usage_interval = std::chrono::seconds(1);
+    // Whether VMs run attempts for those that cannot reach the upstreams.
+    bool relays_attempts = false;
     // Used until a configuration revision is loaded.
     routing_tables settings_tables;
 };
@@ -66,6 +69,10 @@
     {
         return requests_;
     }
+    attempt_relay const& relayed() const
+    {
+        return relayed_;
+    }
     // Non-const for publishing configuration changes.
     control_plane& control()
     {
@@ -82,6 +89,36 @@
     {
         requests_.handle(now, what);
     }
+    template <typename Event>
+    void on_attempt(time_point now, Event const& what)
+    {
+        relayed_.owns(what.attempt) ? relayed_.handle(now, what, requests_)
+                                    : requests_.handle(now, what);
+    }
+    void on(time_point now, upstream_head const& what)
+    {
+        on_attempt(now, what);
+    }
+    void on(time_point now, upstream_piece const& what)
+    {
+        on_attempt(now, what);
+    }
+    void on(time_point now, upstream_end const& what)
+    {
+        on_attempt(now, what);
+    }
+    void on(time_point now, upstream_failed const& what)
+    {
+        on_attempt(now, what);
+    }
+    void on(time_point now, relay_requested const& what)
+    {
+        relayed_.handle(now, what, requests_, control_.members());
+    }
+    void on(time_point, relay_abandoned const& what)
+    {
+        relayed_.handle(what);
+    }
     void on(time_point now, ticked const& what);
     void on(time_point now, log_result const& what);
     void on(time_point now, peer_message_received const& what);
@@ -131,6 +168,7 @@
     time_point event_time_; // of the event being handled
     control_plane control_;
     request_path requests_;
+    attempt_relay relayed_;
     peer_exchange exchange_;
     fleet_duties duties_;
     ordered_moves ordered_moves_;
--- a/src/core/peer_exchange.cpp
+++ b/src/core/peer_exchange.cpp
@@ -36,6 +36,7 @@
         duty_holder_ = message.vm;
         duty_claim_ = {message.vm, now};
     }
+    requests.hear_partitioned(now, message.vm, update->partitioned);
     for (service_usage const& row : update->usage)
     {
         requests.merge_usage(now, row.service, row.usage);
@@ -517,6 +518,7 @@
                          peer_update update)
 {
     update.configuration_version = configuration_.version();
+    update.partitioned = partitioned_;
     std::string const payload = encode(update);
     for (std::string const& vm : peers)
     {
--- a/src/core/peer_exchange.hpp
+++ b/src/core/peer_exchange.hpp
@@ -87,6 +87,12 @@
         holds_duties_ = holds;
     }
 
+    // Sets whether this VM is partitioned from the upstreams, for the peers.
+    void set_partitioned(bool partitioned)
+    {
+        partitioned_ = partitioned;
+    }
+
     // Stores the load that this VM has read from an engine on behalf of others.
     void add_load_report(std::string const& upstream,
                          upstream_report const& report)
@@ -150,6 +156,7 @@
     peer_exchange_options options_;
     command_sink emit_;
     bool holds_duties_ = false;
+    bool partitioned_ = false;
     std::string duty_holder_; // the last peer that claimed them; may be empty
     holder_claim duty_claim_; // the last one made to this VM
     holder_claim other_cells_claim_; // the last one that other hubs passed on
--- a/src/core/peer_update.hpp
+++ b/src/core/peer_update.hpp
@@ -76,12 +76,13 @@
     std::vector<configuration_piece> configuration_pieces;
     prompt_part_delta quarantined_parts;
     std::vector<upstream_limit> limits;
+    bool partitioned = false; // the sender from its upstreams
     MSGPACK_DEFINE(usage, quarantined, leaving, handed_over, evidence,
                    quota_reports, request_counts, move_states, demand,
                    reading_reports, holds_duties, loads, leaving_upstreams,
                    relayed_quotas, cell, quota_sums, duty_holder,
                    configuration_version, wants_configuration,
-                   configuration_pieces, quarantined_parts, limits)
+                   configuration_pieces, quarantined_parts, limits, partitioned)
 };
 
 std::string encode(peer_update const& update);
--- a/src/core/request_attempts.cpp
+++ b/src/core/request_attempts.cpp
@@ -20,11 +20,17 @@
 constexpr std::string_view upstream_error = "upstream_error";
 constexpr std::string_view connect_failed = "connect_failed";
 constexpr std::string_view stream_cut = "stream_cut";
+constexpr std::string_view upstreams_unreachable = "upstreams_unreachable";
+// When a caller may come back if no upstream can be reached: a VM that is
+// partitioned from all of them finds out within this time that it is not.
+constexpr duration unreachable_retry_after = std::chrono::seconds(1);
 // Time reserved for returning the answer to the caller.
 constexpr duration answer_return_time = std::chrono::milliseconds(5);
 // How long an upstream gets no requests after its address was found to belong
 // to another one. The directory should be up to date within this time.
 constexpr duration moved_upstream_pause = std::chrono::seconds(2);
+// Between doubts for silence alone, which a pause of all upstreams brings too.
+constexpr duration silence_doubt_interval = std::chrono::seconds(2);
 // Interval at which a request without a usable upstream looks for one again.
 constexpr duration upstream_retry_interval = std::chrono::milliseconds(20);
 // A request waits this part of the time that it has left for a turn at an
@@ -34,12 +40,18 @@
 // the time in units of this, so that all VMs identify it alike.
 constexpr duration crash_timestamp_resolution = std::chrono::milliseconds(500);
 
+// Whether an attempt failed because no connection was made.
+bool is_unconnected(std::string_view reason)
+{
+    return reason == connect_failed || reason == "connect_timeout";
+}
+
 // The cause of a retry after an attempt that failed with `reason`.
 retry_cause cause_of(verdict run, std::string const& reason)
 {
     bool const unconnected =
         run == verdict::not_run &&
-        (reason == connect_failed || reason == "connect_timeout");
+        (is_unconnected(reason) || reason == upstream_unavailable);
     return unconnected ? retry_cause::not_connected : retry_cause::failed;
 }
 
@@ -117,9 +129,11 @@
     return false;
 }
 
-// Upstreams at which the request has failed, upstreams reserved for others and,
-// if it must run alone, upstreams with requests in flight.
-std::vector<upstream_index> request_path::exclusions_for(row const& r) const
+// Upstreams at which the request has failed, upstreams reserved for others, if
+// it must run alone, upstreams with requests in flight and, with
+// `reached_only`, those that this VM does not reach itself.
+std::vector<upstream_index>
+request_path::exclusions_for(row const& r, bool reached_only) const
 {
     std::vector<upstream_index> excluded = r.tried_upstreams;
     for (auto const& [upstream, request] : reserved_)
@@ -133,6 +147,13 @@
             excluded.push_back(i);
         }
     }
+    for (upstream_index i = 0; reached_only && i < upstreams_.size(); ++i)
+    {
+        if (!reach_.reaches(i))
+        {
+            excluded.push_back(i);
+        }
+    }
     return excluded;
 }
 
@@ -189,10 +210,11 @@
 
 // Chooses the upstream for the next attempt: one of the version assigned to the
 // request or, if there is none, of the other version.
-std::optional<choice> request_path::choose_upstream(time_point now, row& r,
-                                                    request_features& features)
+std::optional<choice>
+request_path::choose_upstream(time_point now, row& r,
+                              request_features& features,
+                              std::vector<upstream_index> const& excluded)
 {
-    std::vector<upstream_index> const excluded = exclusions_for(r);
     if (r.attempts == 0)
     {
         r.version = moves_.choose(now, r.route.service, r.request.id);
@@ -257,8 +279,27 @@
         refuse_for_prompt_part(now, r);
         return;
     }
+    if (r.attempts > 0 && reach_.in_doubt())
+    {
+        wait_for_upstream(now, r); // it will be known soon which way is open
+        return;
+    }
+    std::optional<std::string> relay;
+    if (reach_.partitioned() && members_ != nullptr)
+    {
+        relay = relays_.choose(now, *members_);
+    }
+    // Connections that live on are the only way left for a VM without a relay.
+    bool const reached_only =
+        reach_.partitioned() && !relay && !has_living_connections(now);
     request_features features = features_of(r);
-    auto const chosen = choose_upstream(now, r, features);
+    auto const chosen =
+        choose_upstream(now, r, features, exclusions_for(r, reached_only));
+    if (!chosen && reached_only)
+    {
+        refuse_unreachable(now, r);
+        return;
+    }
     if (!chosen && (r.runs_alone || !reserved_.empty()))
     {
         wait_for_upstream(now, r);
@@ -280,6 +321,7 @@
     r.attempt_started = now;
     r.upstream = chosen->upstream;
     r.upstream_incarnation = upstreams_.row(r.upstream).incarnation;
+    r.relay = reach_.reaches(r.upstream) ? std::string() : relay.value_or("");
     ++r.attempts;
     attempts_[r.attempt] = r.request.id;
     r.part_marks = part_quarantine_.marks_of(r.request.metadata.prompt);
@@ -296,12 +338,127 @@
         r.sse_relay->begin_attempt(r.attempt);
     }
     router_.on_sent(now, r.attempt, features, *chosen, upstreams_);
+    if (!r.relay.empty())
+    {
+        relays_.on_sent(r.relay);
+    }
     upstream_profile const& profile = upstreams_.row(r.upstream).profile;
-    add_timeline_entry(
-        "attempt_started", r.request.id,
-        fmt::format("attempt={} upstream={}", r.attempt, profile.name));
+    add_timeline_entry("attempt_started", r.request.id,
+                       fmt::format("attempt={} upstream={}{}{}", r.attempt,
+                                   profile.name,
+                                   r.relay.empty() ? "" : " relay=", r.relay));
     emit_(start_attempt{r.attempt, profile.name, profile.address,
-                        upstream_request(now, r)});
+                        upstream_request(now, r), r.relay,
+                        r.upstream_incarnation});
+}
+
+// Refuses a request for which no way to an upstream is known.
+void request_path::refuse_unreachable(time_point now, row& r)
+{
+    duration retry_after = unreachable_retry_after;
+    if (auto const fit = relays_.next_fit(now))
+    {
+        retry_after = std::min(retry_after, *fit - now);
+    }
+    refuse(now, r, 503, std::string(upstreams_unreachable), retry_after);
+}
+
+// ---- Partitions of this VM from the upstreams. ----
+
+// Whether bytes have come over connections made before the partition.
+bool request_path::has_living_connections(time_point now) const
+{
+    return now - last_byte_ < options_.reach.silence &&
+           last_byte_ > reach_.partitioned_since().value_or(now);
+}
+
+bool request_path::is_on_dead_connection(time_point now,
+                                         upstream_index upstream,
+                                         time_point sent) const
+{
+    auto const since = reach_.partitioned_since();
+    return since && !reach_.reaches(upstream) && last_byte_ < *since &&
+           now - last_byte_ >= options_.reach.silence &&
+           now - sent >= options_.reach.silence;
+}
+
+// Looks for silence on this VM's connections, makes the connections that settle
+// a doubt, and gives up what waits on connections that are dead. A request that
+// may not be repeated waits on, as its answer may still come.
+void request_path::watch_connections(time_point now)
+{
+    bool const was_partitioned = reach_.partitioned();
+    std::optional<upstream_index> silent;
+    bool several_silent = false;
+    std::vector<request_id> dead;
+    for (auto const& [id, r] : rows_)
+    {
+        if (r.current_stage != stage::running || !r.relay.empty())
+        {
+            continue;
+        }
+        if (now - r.attempt_started >= options_.reach.silence)
+        {
+            several_silent =
+                several_silent || silent.value_or(r.upstream) != r.upstream;
+            silent = r.upstream;
+        }
+        bool const repeatable =
+            r.route.idempotent && (!r.answer_begun || r.route.resumable);
+        if (repeatable &&
+            is_on_dead_connection(now, r.upstream, r.attempt_started))
+        {
+            dead.push_back(id);
+        }
+    }
+    if (several_silent && now - last_byte_ >= options_.reach.silence &&
+        now >= silence_doubt_due_)
+    {
+        silence_doubt_due_ = now + silence_doubt_interval;
+        reach_.doubt(now);
+    }
+    for (upstream_index const each : reach_.take_due_checks(now, upstreams_))
+    {
+        upstream_profile const& profile = upstreams_.row(each).profile;
+        emit_(check_upstream{profile.name, profile.address});
+    }
+    log_reach(was_partitioned);
+    for (request_id const& id : dead)
+    {
+        row& r = rows_.at(id);
+        emit_(cancel_attempt{r.attempt});
+        handle_failed_attempt(now, r, verdict::may_have_run,
+                              std::string(upstreams_unreachable));
+    }
+}
+
+void request_path::log_reach(bool was_partitioned)
+{
+    if (reach_.partitioned() != was_partitioned)
+    {
+        add_timeline_entry(was_partitioned ? "upstreams_reached"
+                                           : "partitioned_from_upstreams",
+                           "", "");
+    }
+}
+
+void request_path::note_answer(time_point now, upstream_index upstream,
+                               std::uint64_t incarnation, int status,
+                               header_list const& headers)
+{
+    event_time_ = now;
+    note_byte(now);
+    hear_answer(now, {upstreams_.row(upstream).profile.name, incarnation},
+                options_.api_dialect->read_answer({}, status, headers));
+}
+
+void request_path::note_failure(time_point now, upstream_index upstream,
+                                std::string const& reason)
+{
+    if (is_unconnected(reason))
+    {
+        reach_.on_connection_failed(now, upstream);
+    }
 }
 
 void request_path::refuse_for_prompt_part(time_point now, row& r)
@@ -330,6 +487,11 @@
 void request_path::end_attempt(time_point now, row& r)
 {
     crash_detector_.record_ended_attempt(r.upstream, r.attempt);
+    if (!r.relay.empty())
+    {
+        relays_.on_end(r.relay);
+        r.relay.clear();
+    }
     if (r.runs_alone)
     {
         reserved_.erase(r.upstream);
@@ -360,14 +522,11 @@
             answer_loads_[profile.name] = report;
         }
     }
-    if (!metadata.from_other_upstream)
-    {
-        heed_notice(
-            now,
-            {upstreams_.row(r->upstream).profile.name, r->upstream_incarnation},
-            metadata.notice);
-        hear_limit(now, *r, metadata);
-    }
+    hear_answer(
+        now,
+        {upstreams_.row(r->upstream).profile.name, r->upstream_incarnation},
+        metadata);
+    note_own_byte(now, *r);
     bool const not_run = metadata.stated_verdict == verdict::not_run;
     bool const is_server_error = what.status >= http_server_error;
     // The upstream has not stated what this status guarantees, so it is not
@@ -480,6 +639,7 @@
     {
         return;
     }
+    note_own_byte(now, *r);
     if (r->token_relay)
     {
         relay_tokens(now, *r, what.bytes);
@@ -607,10 +767,35 @@
 {
     event_time_ = now;
     row* const r = row_of(what.attempt);
-    if (r != nullptr)
+    if (r == nullptr)
     {
-        handle_failed_attempt(now, *r, what.run, what.reason);
+        return;
     }
+    what.place == failure_place::relay
+        ? handle_lost_relay(now, *r, what.run, what.reason)
+        : handle_failed_attempt(now, *r, what.run, what.reason);
+}
+
+void request_path::note_own_byte(time_point now, row const& r)
+{
+    if (r.relay.empty())
+    {
+        note_byte(now);
+    }
+}
+
+// The VM that was to run the attempt declined it, or was lost. This shows
+// nothing about the upstream.
+void request_path::handle_lost_relay(time_point now, row& r, verdict run,
+                                     std::string const& reason)
+{
+    add_timeline_entry("attempt_failed", r.request.id,
+                       fmt::format("attempt={} run={} reason={} relay={}",
+                                   r.attempt, name(run), reason, r.relay));
+    relays_.on_unfit(now, r.relay);
+    retry_or_refuse(now, r, run, reason,
+                    run == verdict::not_run ? retry_cause::not_connected
+                                            : retry_cause::failed);
 }
 
 void request_path::handle_failed_attempt(time_point now, row& r, verdict run,
@@ -621,22 +806,34 @@
                                    name(run), reason));
     record_version_outcome(now, r, false);
     detect_crash(now, r, reason);
-    bool const declined = run == verdict::not_run && reason == upstream_error;
+    bool const declined =
+        run == verdict::not_run &&
+        (reason == upstream_error || reason == upstream_unavailable);
     if (!declined) // an overloaded upstream is not faulty
     {
         outliers_.on_result(now, r.upstream, false, upstreams_);
     }
+    if (r.relay.empty())
+    {
+        note_failure(now, r.upstream, reason);
+    }
+    r.tried_upstreams.push_back(r.upstream);
+    retry_or_refuse(now, r, run, reason, cause_of(run, reason));
+}
+
+// Ends the current attempt, and the request too unless it may be sent again.
+void request_path::retry_or_refuse(time_point now, row& r, verdict run,
+                                   std::string const& reason, retry_cause cause)
+{
     r.held_head.reset(); // discards the buffered answer
     r.held_bytes.clear();
-    r.tried_upstreams.push_back(r.upstream);
     if (r.token_relay)
     {
         r.token_relay->end_attempt(r.attempt);
     }
     end_attempt(now, r);
     r.run = combine(r.run, run);
-    if (refuse_if_quarantined(now, r) ||
-        schedule_retry(now, r, cause_of(run, reason)))
+    if (refuse_if_quarantined(now, r) || schedule_retry(now, r, cause))
     {
         return;
     }
@@ -701,7 +898,14 @@
 {
     event_time_ = now;
     auto const index = upstreams_.find(what.upstream);
-    if (!index || !what.refused || upstreams_.row(*index).leaving)
+    if (!index)
+    {
+        return;
+    }
+    bool const was_partitioned = reach_.partitioned();
+    reach_.on_checked(now, *index, what.accepted);
+    log_reach(was_partitioned);
+    if (!what.refused || upstreams_.row(*index).leaving)
     {
         return;
     }
--- a/src/core/request_path.cpp
+++ b/src/core/request_path.cpp
@@ -57,6 +57,13 @@
     return result;
 }
 
+upstream_reach_options reach_options_of(request_path_options const& options)
+{
+    upstream_reach_options result = options.reach;
+    result.seed = options.seed;
+    return result;
+}
+
 } // namespace
 
 request_path::request_path(request_path_options options, command_sink emit,
@@ -67,7 +74,8 @@
       outliers_(options_.outliers), quotas_(options_.quotas),
       started_usage_(options_.usage_window), quarantine_(options_.quarantined),
       part_quarantine_(part_options_of(options_)),
-      crash_detector_(options_.crashes),
+      crash_detector_(options_.crashes), reach_(reach_options_of(options_)),
+      relays_(options_.relays),
       ledger_(ledger_options_of(options_),
               [this](ledger_effect const& effect) {
                   std::visit([this](auto const& e) { take(event_time_, e); },
@@ -116,6 +124,7 @@
         router_.on_upstream_reset(*index);
         outliers_.on_upstream_reset(*index);
         crash_detector_.on_upstream_reset(*index);
+        reach_.on_upstream_reset(*index);
     }
 }
 
@@ -632,16 +641,20 @@
     }
 }
 
-// Takes what the head of an answer says, or does not say, of a limit.
-void request_path::hear_limit(time_point now, row const& r,
-                              answer_metadata const& metadata)
+// Takes what the head of an answer says of its upstream, or does not say.
+void request_path::hear_answer(time_point now, leaving_upstream const& from,
+                               answer_metadata const& metadata)
 {
-    std::string const& upstream = upstreams_.row(r.upstream).profile.name;
+    if (metadata.from_other_upstream)
+    {
+        return;
+    }
+    heed_notice(now, from, metadata.notice);
     auto const& limit = metadata.notice.request_limit;
     if ((limit || metadata.tells_of_limits) &&
-        upstreams_.hear_limit(now, upstream, r.upstream_incarnation, limit))
+        upstreams_.hear_limit(now, from.upstream, from.incarnation, limit))
     {
-        log_limit(now, upstream, "answer");
+        log_limit(now, from.upstream, "answer");
     }
 }
 
@@ -698,6 +711,7 @@
         router_.on_upstream_reset(*known);
         outliers_.on_upstream_reset(*known);
         crash_detector_.on_upstream_reset(*known);
+        reach_.on_upstream_reset(*known);
     }
     upstreams_.put(profile_of(what.upstream, options_), what.incarnation);
     if (what.leaving)
@@ -811,6 +825,7 @@
     quarantine_.tick(now);
     part_quarantine_.tick(now);
     demand_.tick(now);
+    watch_connections(now);
     if (listed_position_ != used_position_ && now >= shrink_due_)
     {
         use_fleet_position(now, listed_position_);
--- a/src/core/request_path.hpp
+++ b/src/core/request_path.hpp
@@ -13,6 +13,10 @@
 // refusal has the combined verdict of all attempts, so it says not_run only if
 // no attempt was run.
 //
+// An upstream that this VM cannot reach while it is partitioned (see
+// upstream_reach) gets its attempts through another VM (see relay_choice,
+// attempt_relay). All decisions on such a request stay here.
+//
 // If the caller disconnects, an idempotent request is cancelled; a
 // non-idempotent one runs to completion so that its outcome is recorded.
 //
@@ -33,12 +37,14 @@
 #include "core/peer_update.hpp"
 #include "core/prompt_part_quarantine.hpp"
 #include "core/quarantine.hpp"
+#include "core/relay_choice.hpp"
 #include "core/retry_budget.hpp"
 #include "core/routing.hpp"
 #include "core/service_demand.hpp"
 #include "core/shared_quota.hpp"
 #include "core/site.hpp"
 #include "core/stream_relay.hpp"
+#include "core/upstream_reach.hpp"
 #include "core/upstream_table.hpp"
 #include "core/usage_windows.hpp"
 
@@ -68,6 +74,8 @@
     quarantine_options quarantined;
     prompt_part_quarantine_options quarantined_parts; // vm is set from above
     crash_detector_options crashes;
+    upstream_reach_options reach; // seed is set from above
+    relay_choice_options relays;
     // Bytes kept of the last tokens of each stream, while it is relayed.
     std::size_t stream_history_bytes = std::size_t{16} << 10;
     ledger_options requests_ledger; // vm and incarnation are set from above
@@ -114,6 +122,19 @@
     // place among them.
     void set_fleet_position(time_point now, fleet_position position);
 
+    // The VMs that may run attempts for this one; none until this is called.
+    void set_members(membership const& members)
+    {
+        members_ = &members;
+    }
+
+    // A peer has told whether it is partitioned from the upstreams.
+    void hear_partitioned(time_point now, std::string const& vm,
+                          bool partitioned)
+    {
+        relays_.on_told(now, vm, partitioned);
+    }
+
     // The current routing tables.
     routing_tables const& tables() const
     {
@@ -155,6 +176,34 @@
     // caller's request.
     void handle(time_point now, upstream_noticed const& what);
 
+    // What an attempt that was relayed to this VM shows of an upstream: the
+    // head of an answer, any byte, a failure.
+    void note_answer(time_point now, upstream_index upstream,
+                     std::uint64_t incarnation, int status,
+                     header_list const& headers);
+    void note_byte(time_point now)
+    {
+        last_byte_ = now;
+    }
+    void note_failure(time_point now, upstream_index upstream,
+                      std::string const& reason);
+
+    // Whether an attempt that this VM sent to the upstream at `sent` waits on a
+    // connection that has been dead since the VM was partitioned.
+    bool is_on_dead_connection(time_point now, upstream_index upstream,
+                               time_point sent) const;
+
+    // Whether the upstream gets no other request now.
+    bool is_reserved(upstream_index upstream) const
+    {
+        return reserved_.contains(upstream);
+    }
+
+    upstream_reach const& reach() const
+    {
+        return reach_;
+    }
+
     // The outcome of a check_upstream command.
     void handle(time_point now, upstream_checked const& what);
 
@@ -280,6 +329,7 @@
         upstream_index upstream = 0; // of the current attempt
         std::uint64_t upstream_incarnation = 0;
         time_point attempt_started;
+        std::string relay; // the VM that runs the attempt; empty: this one
         std::uint32_t attempts = 0;
         std::uint8_t urgency = 0;       // see attempt_metadata
         double quota_units = 0;         // charged to the organisation's quota
@@ -329,17 +379,28 @@
 
     // Attempts.
     void dispatch(time_point now, row& r);
-    std::optional<choice> choose_upstream(time_point now, row& r,
-                                          request_features& features);
+    std::optional<choice>
+    choose_upstream(time_point now, row& r, request_features& features,
+                    std::vector<upstream_index> const& excluded);
     void record_version_outcome(time_point now, row& r, bool answered);
     bool refuse_if_quarantined(time_point now, row& r);
     void refuse_for_prompt_part(time_point now, row& r);
-    std::vector<upstream_index> exclusions_for(row const& r) const;
+    std::vector<upstream_index> exclusions_for(row const& r,
+                                               bool reached_only) const;
+    bool has_living_connections(time_point now) const;
+    void refuse_unreachable(time_point now, row& r);
+    void watch_connections(time_point now);
+    void log_reach(bool was_partitioned);
+    void handle_lost_relay(time_point now, row& r, verdict run,
+                           std::string const& reason);
+    void note_own_byte(time_point now, row const& r);
+    void retry_or_refuse(time_point now, row& r, verdict run,
+                         std::string const& reason, retry_cause cause);
     void wait_for_upstream(time_point now, row& r);
     bool wait_for_turn(time_point now, row& r);
     void end_wait_for_turn(row& r);
-    void hear_limit(time_point now, row const& r,
-                    answer_metadata const& metadata);
+    void hear_answer(time_point now, leaving_upstream const& from,
+                     answer_metadata const& metadata);
     void log_limit(time_point now, std::string const& upstream,
                    std::string_view source);
     void use_fleet_position(time_point now, fleet_position position);
@@ -401,6 +462,12 @@
     quarantine quarantine_;
     prompt_part_quarantine part_quarantine_;
     crash_detector crash_detector_;
+    upstream_reach reach_;
+    relay_choice relays_;
+    membership const* members_ = nullptr;
+    // Of an upstream, over a connection of this VM's own.
+    time_point last_byte_{};
+    time_point silence_doubt_due_{};
     // Upstreams reserved for one request that may crash them; they get no
     // other.
     std::map<upstream_index, request_id> reserved_;
--- a/src/core/session_text.cpp
+++ b/src/core/session_text.cpp
@@ -409,6 +409,27 @@
     {
         return fmt::format("read_load upstream={}", quoted_text(c.upstream));
     }
+    std::string operator()(relay_answer_head const& c) const
+    {
+        return fmt::format("relay_head relay={} status={}{}", c.relay, c.status,
+                           text_of(c.headers));
+    }
+    std::string operator()(relay_answer_piece const& c) const
+    {
+        return fmt::format("relay_piece relay={} bytes={}", c.relay,
+                           quoted_text(c.bytes));
+    }
+    std::string operator()(relay_answer_end const& c) const
+    {
+        return fmt::format("relay_end relay={}", c.relay);
+    }
+    std::string operator()(relay_answer_failed const& c) const
+    {
+        return fmt::format("relay_failed relay={} place={} verdict={} "
+                           "reason={}",
+                           c.relay, name_in(failure_place_names, c.why.place),
+                           name(c.why.run), quoted_text(c.why.reason));
+    }
     std::string operator()(check_upstream const& c) const
     {
         return fmt::format("check_upstream upstream={}", c.upstream);
--- a/src/core/upstream_table.hpp
+++ b/src/core/upstream_table.hpp
@@ -86,6 +86,13 @@
         return present && !leaving && !quarantined && ejected_until <= now &&
                paused_until <= now && (!limit || limit->admits(now));
     }
+
+    // Whether an attempt may be sent to it that another VM has decided on,
+    // whose turn at a limit and whose ejections count.
+    bool takes_relayed(time_point now) const
+    {
+        return present && !leaving && !quarantined && paused_until <= now;
+    }
 };
 
 // What a VM has heard of an upstream's limit, as sent between VMs.
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -864,6 +864,12 @@
     impl_->drain(steady_clock::now());
 }
 
+std::string http_server::source_of(exchange_id exchange) const
+{
+    connection const* const row = impl_->owner(exchange);
+    return row == nullptr ? std::string() : row->address;
+}
+
 std::size_t http_server::connections() const
 {
     return impl_->connections_.size();
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -125,6 +125,10 @@
     void refuse(exchange_id exchange, request_id const& request,
                 refusal const& why);
 
+    // The address, without its port, that an exchange that is not void came
+    // from.
+    std::string source_of(exchange_id exchange) const;
+
     // Closes the listening socket after accepting what already waits on it.
     void stop_accepting();
 
