A VM whose connections are reset by a partition concludes no crash of upstreams

Cause: a lost connection followed by a refused one is taken for the crash of that upstream, though a partition of the VM itself looks the same. The same mistake elsewhere: requests on silent connections were given up for a partition though most upstreams had crashed, which lost the sign of a fatal request.

A crash is held back until a round of connections to other upstreams shows that this VM is not partitioned; if it seems to be, until another VM has got an answer from an upstream that this one cannot reach (then none is concluded) or 400 ms have passed (then the upstreams have crashed). One upstream alone never shows a partition.

Failed before and passes now: vms_partitioned_from_all_upstreams/ do_not_take_it_for_crashes_of_upstreams.

--- a/src/core/request_attempts.cpp
+++ b/src/core/request_attempts.cpp
@@ -29,6 +29,9 @@
 // How long an upstream gets no requests after its address was found to belong
 // to another one. The directory should be up to date within this time.
 constexpr duration moved_upstream_pause = std::chrono::seconds(2);
+// How long a partitioned VM waits for other VMs' answers before it takes
+// upstreams that it cannot reach for crashed.
+constexpr duration crash_doubt_timeout = std::chrono::milliseconds(400);
 // Between doubts for silence alone, which a pause of all upstreams brings too.
 constexpr duration silence_doubt_interval = std::chrono::seconds(2);
 // Interval at which a request without a usable upstream looks for one again.
@@ -377,7 +380,7 @@
                                          time_point sent) const
 {
     auto const since = reach_.partitioned_since();
-    return since && !reach_.reaches(upstream) && last_byte_ < *since &&
+    return since && reach_.confirmed() && !reach_.reaches(upstream) && last_byte_ < *since &&
            now - last_byte_ >= options_.reach.silence &&
            now - sent >= options_.reach.silence;
 }
@@ -387,6 +390,10 @@
 // may not be repeated waits on, as its answer may still come.
 void request_path::watch_connections(time_point now)
 {
+    if (members_ == nullptr)
+    {
+        return; // there is no other way to look for
+    }
     bool const was_partitioned = reach_.partitioned();
     std::optional<upstream_index> silent;
     bool several_silent = false;
@@ -423,6 +430,7 @@
         emit_(check_upstream{profile.name, profile.address});
     }
     log_reach(was_partitioned);
+    settle_doubted_crashes(now);
     for (request_id const& id : dead)
     {
         row& r = rows_.at(id);
@@ -455,7 +463,7 @@
 void request_path::note_failure(time_point now, upstream_index upstream,
                                 std::string const& reason)
 {
-    if (is_unconnected(reason))
+    if (members_ != nullptr && is_unconnected(reason))
     {
         reach_.on_connection_failed(now, upstream);
     }
@@ -526,7 +534,7 @@
         now,
         {upstreams_.row(r->upstream).profile.name, r->upstream_incarnation},
         metadata);
-    note_own_byte(now, *r);
+    note_byte_of(now, *r);
     bool const not_run = metadata.stated_verdict == verdict::not_run;
     bool const is_server_error = what.status >= http_server_error;
     // The upstream has not stated what this status guarantees, so it is not
@@ -639,7 +647,7 @@
     {
         return;
     }
-    note_own_byte(now, *r);
+    note_byte_of(now, *r);
     if (r->token_relay)
     {
         relay_tokens(now, *r, what.bytes);
@@ -776,12 +784,14 @@
         : handle_failed_attempt(now, *r, what.run, what.reason);
 }
 
-void request_path::note_own_byte(time_point now, row const& r)
+void request_path::note_byte_of(time_point now, row const& r)
 {
     if (r.relay.empty())
     {
         note_byte(now);
+        return;
     }
+    reach_.on_reached_by_others(r.upstream);
 }
 
 // The VM that was to run the attempt declined it, or was lost. This shows
@@ -857,7 +867,7 @@
         if (auto const suspects =
                 crash_detector_.record_refused_connection(now, r.upstream))
         {
-            record_crash(now, r.upstream, *suspects);
+            doubt_crash(now, r.upstream, *suspects);
         }
         return;
     }
@@ -886,7 +896,7 @@
     if (auto const suspects = crash_detector_.record_lost_connection(
             now, r.upstream, r.attempt, in_flight))
     {
-        record_crash(now, r.upstream, *suspects);
+        doubt_crash(now, r.upstream, *suspects);
     }
     else if (crash_detector_.needs_check(r.upstream))
     {
@@ -902,9 +912,13 @@
     {
         return;
     }
-    bool const was_partitioned = reach_.partitioned();
-    reach_.on_checked(now, *index, what.accepted);
-    log_reach(was_partitioned);
+    if (members_ != nullptr)
+    {
+        bool const was_partitioned = reach_.partitioned();
+        reach_.on_checked(now, *index, what.accepted);
+        log_reach(was_partitioned);
+    }
+    settle_doubted_crashes(now);
     if (!what.refused || upstreams_.row(*index).leaving)
     {
         return;
@@ -912,13 +926,15 @@
     if (auto const suspects =
             crash_detector_.record_refused_connection(now, *index))
     {
-        record_crash(now, *index, *suspects);
+        doubt_crash(now, *index, *suspects);
     }
 }
 
-// Marks the requests that may have crashed an upstream.
-void request_path::record_crash(time_point now, upstream_index upstream,
-                                crash_suspects const& suspects)
+// Holds a crash back until it is known whether the connections were lost
+// because this VM is partitioned. Where other VMs get no answers either, the
+// upstreams have crashed.
+void request_path::doubt_crash(time_point now, upstream_index upstream,
+                               crash_suspects suspects)
 {
     upstream_row const& crashed = upstreams_.row(upstream);
     // An upstream whose incarnation is not known is identified by the time.
@@ -927,15 +943,57 @@
             ? crashed.incarnation
             : static_cast<std::uint64_t>(now.time_since_epoch() /
                                          crash_timestamp_resolution);
-    crash_id const crash{crashed.profile.name, incarnation};
-    quarantine_.crashed(suspects.lost_at, crash, suspects.requests,
-                        reserved_.contains(upstream));
-    part_quarantine_.crashed(suspects.lost_at, crash, suspects.parts);
+    doubted_crashes_.push_back({{crashed.profile.name, incarnation},
+                                std::move(suspects),
+                                now,
+                                reserved_.contains(upstream)});
+    if (members_ != nullptr)
+    {
+        reach_.on_connection_failed(now, upstream);
+        reach_.doubt(now);
+    }
+    settle_doubted_crashes(now);
+}
+
+void request_path::settle_doubted_crashes(time_point now)
+{
+    if (reach_.in_doubt())
+    {
+        return;
+    }
+    for (doubted_crash& each : std::exchange(doubted_crashes_, {}))
+    {
+        bool const waits = reach_.partitioned() && !reach_.confirmed() &&
+                           now - each.doubted_at < crash_doubt_timeout;
+        if (waits)
+        {
+            doubted_crashes_.push_back(std::move(each));
+            continue;
+        }
+        if (!reach_.confirmed())
+        {
+            record_crash(each);
+            continue;
+        }
+        add_timeline_entry("crash_not_concluded", "",
+                           fmt::format("upstream={} incarnation={}",
+                                       each.crash.upstream,
+                                       each.crash.incarnation));
+    }
+}
+
+// Marks the requests that may have crashed an upstream.
+void request_path::record_crash(doubted_crash const& what)
+{
+    quarantine_.crashed(what.suspects.lost_at, what.crash,
+                        what.suspects.requests, what.ran_alone);
+    part_quarantine_.crashed(what.suspects.lost_at, what.crash,
+                             what.suspects.parts);
     add_timeline_entry(
         "upstream_crashed", "",
         fmt::format("upstream={} incarnation={} requests={} parts={}",
-                    crashed.profile.name, incarnation, suspects.requests.size(),
-                    suspects.parts.size()));
+                    what.crash.upstream, what.crash.incarnation,
+                    what.suspects.requests.size(), what.suspects.parts.size()));
 }
 
 bool request_path::schedule_retry(time_point now, row& r, retry_cause cause)
--- a/src/core/request_path.hpp
+++ b/src/core/request_path.hpp
@@ -352,6 +352,15 @@
         std::vector<part_clearance> part_marks;
     };
 
+    // A crash as this VM's own connections show it; a partition looks alike.
+    struct doubted_crash
+    {
+        crash_id crash;
+        crash_suspects suspects;
+        time_point doubted_at;
+        bool ran_alone = false;
+    };
+
     // Arrival.
     std::optional<refusal> refuse_early(call const& request,
                                         std::string const& organisation,
@@ -393,7 +402,7 @@
     void log_reach(bool was_partitioned);
     void handle_lost_relay(time_point now, row& r, verdict run,
                            std::string const& reason);
-    void note_own_byte(time_point now, row const& r);
+    void note_byte_of(time_point now, row const& r);
     void retry_or_refuse(time_point now, row& r, verdict run,
                          std::string const& reason, retry_cause cause);
     void wait_for_upstream(time_point now, row& r);
@@ -405,8 +414,10 @@
                    std::string_view source);
     void use_fleet_position(time_point now, fleet_position position);
     void detect_crash(time_point now, row const& r, std::string const& reason);
-    void record_crash(time_point now, upstream_index upstream,
-                      crash_suspects const& suspects);
+    void doubt_crash(time_point now, upstream_index upstream,
+                     crash_suspects suspects);
+    void settle_doubted_crashes(time_point now);
+    void record_crash(doubted_crash const& what);
     void record_begun_answer(time_point now, row& r);
     call upstream_request(time_point now, row const& r) const;
     request_features features_of(row const& r) const;
@@ -462,6 +473,7 @@
     quarantine quarantine_;
     prompt_part_quarantine part_quarantine_;
     crash_detector crash_detector_;
+    std::vector<doubted_crash> doubted_crashes_; // until reach_ is settled
     upstream_reach reach_;
     relay_choice relays_;
     membership const* members_ = nullptr;
--- a/src/core/upstream_reach.cpp
+++ b/src/core/upstream_reach.cpp
@@ -11,10 +11,10 @@
 
 constexpr std::size_t failures_for_doubt = 2;
 
-// Three quarters or more of a round's connections.
+// Three quarters or more of a round's connections; one upstream proves nothing.
 bool shows_partition(std::size_t failed, std::size_t accepted)
 {
-    return failed > 0 && failed * 4 >= (failed + accepted) * 3;
+    return failed > 1 && failed * 4 >= (failed + accepted) * 3;
 }
 
 } // namespace
@@ -25,6 +25,7 @@
     if (partitioned())
     {
         reached_.erase(upstream);
+        failed_.insert(upstream);
         return;
     }
     std::erase_if(failures_, [&](auto const& each)
@@ -43,8 +44,8 @@
 {
     if (partitioned())
     {
-        accepted ? static_cast<void>(reached_.insert(upstream))
-                 : static_cast<void>(reached_.erase(upstream));
+        (accepted ? reached_ : failed_).insert(upstream);
+        (accepted ? failed_ : reached_).erase(upstream);
     }
     if (!round_ || round_->awaited.erase(upstream) == 0)
     {
@@ -55,6 +56,10 @@
         return;
     }
     ++(accepted ? round_->accepted : round_->failed);
+    if (!accepted)
+    {
+        round_->failures.insert(upstream);
+    }
     if (accepted && !partitioned())
     {
         failures_.erase(upstream);
@@ -74,14 +79,16 @@
         conclude();
     }
     bool const due =
-        !round_ && now >= next_round_ && (doubted_ || partitioned());
+        !round_ && (doubted_ || partitioned()) &&
+        now - last_round_ >=
+            (partitioned() ? options_.round_interval : options_.doubt_interval);
     if (!due)
     {
         return {};
     }
     std::vector<upstream_index> sample = choose_sample(table);
     doubted_ = false;
-    next_round_ = now + options_.round_interval;
+    last_round_ = now;
     if (!sample.empty())
     {
         round_ = round{now, {sample.begin(), sample.end()}};
@@ -112,12 +119,17 @@
 void upstream_reach::conclude()
 {
     round const ended = *std::exchange(round_, std::nullopt);
-    failures_.clear();
+    auto const before = std::exchange(failures_, {});
     if (!partitioned())
     {
         if (shows_partition(ended.failed, ended.accepted))
         {
             partitioned_since_ = ended.began;
+            failed_ = ended.failures;
+            for (auto const& [upstream, at] : before)
+            {
+                failed_.insert(upstream);
+            }
         }
         return;
     }
@@ -125,6 +137,8 @@
     {
         partitioned_since_.reset();
         reached_.clear();
+        failed_.clear();
+        confirmed_ = false;
     }
 }
 
@@ -132,6 +146,7 @@
 {
     failures_.erase(upstream);
     reached_.erase(upstream);
+    failed_.erase(upstream);
 }
 
 } // namespace amarantharch
--- a/src/core/upstream_reach.hpp
+++ b/src/core/upstream_reach.hpp
@@ -13,6 +13,9 @@
 // `round_interval`. An upstream that accepts is reached again; the state ends
 // with a round in which all accept.
 //
+// The same is seen if most upstreams crash at once. An answer that another VM
+// has got from an upstream that this one cannot reach tells them apart.
+//
 // Only new connections count: kept ones may live on while new ones are refused,
 // or be dead without a sign.
 // Cost: up to `sample` connections for each doubt, `sample` in a
@@ -39,6 +42,8 @@
     duration doubt_window = std::chrono::seconds(2);
     duration silence = std::chrono::milliseconds(400);
     duration round_interval = std::chrono::milliseconds(500);
+    // Between rounds for doubts.
+    duration doubt_interval = std::chrono::milliseconds(100);
     // A connection of a round without an outcome has failed after this time;
     // above the time-out of connections.
     duration round_timeout = std::chrono::milliseconds(600);
@@ -86,6 +91,19 @@
         return partitioned_since_;
     }
 
+    // Another VM has got an answer from the upstream. While partitioned, this
+    // confirms it if this VM's own connections to the upstream have failed.
+    void on_reached_by_others(upstream_index upstream)
+    {
+        confirmed_ = confirmed_ || failed_.contains(upstream);
+    }
+
+    // Whether the upstreams are known to be sound while this VM is partitioned.
+    bool confirmed() const
+    {
+        return confirmed_;
+    }
+
     // Whether attempts can be sent to the upstream from this VM itself.
     bool reaches(upstream_index upstream) const
     {
@@ -101,7 +119,9 @@
         time_point began;
         std::set<upstream_index> awaited;
         std::size_t accepted = 0;
-        std::size_t failed = 0;
+        std::size_t failed = 0; // with those that did not answer
+        std::set<upstream_index> failures =
+            {}; // of the failed ones that answered
     };
 
     std::vector<upstream_index> choose_sample(upstream_table const& table);
@@ -113,9 +133,12 @@
     std::map<upstream_index, time_point> failures_;
     bool doubted_ = false;
     std::optional<round> round_;
-    time_point next_round_{};
+    time_point last_round_{};
     std::optional<time_point> partitioned_since_;
-    std::set<upstream_index> reached_; // while partitioned
+    // While partitioned: upstreams that accept connections, and others.
+    std::set<upstream_index> reached_;
+    std::set<upstream_index> failed_;
+    bool confirmed_ = false;
 };
 
 } // namespace amarantharch
