Partitioned VMs: tests of streams, callers that leave, relaying VMs that stop; no evidence from a VM's own links

Failures of a VM's links during a doubt or a partition counted as failures of upstreams (ejections) and against a version that is being rolled out, the same cause as crashes concluded from resets. They count no more. Lost connections in the first moment of a partition by resets still count against a version (open).

--- a/src/core/crash_fixture_test.hpp
+++ b/src/core/crash_fixture_test.hpp
@@ -255,6 +255,12 @@
         return count;
     }
 
+    // A VM must stop in this time.
+    void stop(std::size_t vm, duration within)
+    {
+        nodes_[vm]->handle(now_, stop_requested{now_ + within});
+    }
+
     node& vm_at(std::size_t i)
     {
         return *nodes_[i];
--- a/src/core/partitioned_vm_test.cpp
+++ b/src/core/partitioned_vm_test.cpp
@@ -125,6 +125,17 @@
     return most;
 }
 
+// Whether the bytes are the events 1 to `count`, in order.
+bool is_whole_stream(std::string const& bytes, std::uint32_t count)
+{
+    std::string expected;
+    for (std::uint32_t i = 1; i <= count; ++i)
+    {
+        expected += fmt::format("id: {}\ndata: x\n\n", i);
+    }
+    return bytes == expected;
+}
+
 // Partitions VMs in traffic and checks the promise.
 void check_partition(test::crash_world_options const& options,
                      std::set<std::size_t> const& cut, link_loss how,
@@ -302,6 +313,103 @@
     }
 }
 
+// Attempts that are relayed, and those of the other VMs, come to the upstream
+// as if all VMs reached it.
+BOOST_AUTO_TEST_CASE(have_streams_resumed_without_a_gap)
+{
+    for (auto const& row : test::link_loss_names)
+    {
+        auto options = streams(1);
+        options.events = 40;
+        test::crash_world world(options, never_fatal);
+        send_for(world, options.vms, seconds(2), 100);
+        world.partition(3, row.value);
+        send_for(world, options.vms, seconds(3), 100);
+        world.partition(0, row.value);
+        send_for(world, options.vms, seconds(3), 100);
+        world.heal(3);
+        world.heal(0);
+        world.run(seconds(5));
+        for (auto const& [id, each] : world.callers())
+        {
+            if (each.served)
+            {
+                BOOST_TEST(is_whole_stream(each.events, options.events),
+                           name_in(test::link_loss_names, row.value)
+                               << " " << id << "\n"
+                               << each.events);
+            }
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(have_upstreams_told_when_a_caller_leaves)
+{
+    auto options = streams(1);
+    options.events = 200;
+    test::crash_world world(options, never_fatal);
+    world.partition(3, link_loss::reset);
+    send_for(world, options.vms, seconds(2), 100);
+    world.run(seconds(1));
+    std::size_t running = 0;
+    for (auto const& [id, each] : world.callers())
+    {
+        if (each.vm == 3 && !each.ended)
+        {
+            running += world.running(id);
+            world.leave(id);
+        }
+    }
+    BOOST_TEST(running > 0u);
+    world.run(milliseconds(100));
+    for (auto const& [id, each] : world.callers())
+    {
+        BOOST_TEST((each.vm != 3 || world.running(id) == 0));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(
+    are_served_while_vms_that_run_their_attempts_stop_or_restart)
+{
+    for (std::uint64_t seed = 1; seed <= 3; ++seed)
+    {
+        auto const options = nine_vms_in_four_domains(seed);
+        test::crash_world world(options, never_fatal);
+        send_for(world, options.vms, seconds(2), 100);
+        for (std::size_t const vm : {0, 4, 8})
+        {
+            world.partition(vm, link_loss::silent);
+        }
+        time_point const begin = world.now();
+        send_for(world, options.vms, seconds(3), 100);
+        world.stop(1, seconds(8));
+        send_for(world, options.vms, seconds(3), 100);
+        world.restart_vm(2);
+        send_for(world, options.vms, seconds(3), 100);
+        world.run(seconds(3));
+        auto const there = served_at(world, {0, 4, 8}, false, begin + contact,
+                                     begin + seconds(9));
+        BOOST_TEST(there.share() >= 0.95,
+                   "seed " << seed << ": " << there.share());
+    }
+}
+
+// Links to upstreams say nothing about a version that is being rolled out, nor
+// about the upstreams.
+BOOST_AUTO_TEST_CASE(hold_no_failure_of_their_links_against_upstreams)
+{
+    auto const options = nine_vms_in_four_domains(1);
+    test::crash_world world(options, never_fatal);
+    send_for(world, options.vms, seconds(4), 200);
+    world.partition(3, link_loss::silent);
+    send_for(world, options.vms, seconds(4), 200);
+    upstream_table const& table = world.vm_at(3).requests().upstreams();
+    for (upstream_index i = 0; i < table.size(); ++i)
+    {
+        BOOST_TEST((table.row(i).ejected_until <= world.now()));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace amarantharch
--- a/src/core/request_attempts.cpp
+++ b/src/core/request_attempts.cpp
@@ -380,8 +380,8 @@
                                          time_point sent) const
 {
     auto const since = reach_.partitioned_since();
-    return since && reach_.confirmed() && !reach_.reaches(upstream) && last_byte_ < *since &&
-           now - last_byte_ >= options_.reach.silence &&
+    return since && reach_.confirmed() && !reach_.reaches(upstream) &&
+           last_byte_ < *since && now - last_byte_ >= options_.reach.silence &&
            now - sent >= options_.reach.silence;
 }
 
@@ -814,12 +814,21 @@
     add_timeline_entry("attempt_failed", r.request.id,
                        fmt::format("attempt={} run={} reason={}", r.attempt,
                                    name(run), reason));
+    // Of the links of this VM, which say nothing about the upstream.
+    bool const of_links =
+        r.relay.empty() &&
+        (is_unconnected(reason) || reason == upstreams_unreachable) &&
+        (reach_.in_doubt() || reach_.partitioned());
+    if (of_links)
+    {
+        r.version.move_revision.clear(); // no evidence about the version
+    }
     record_version_outcome(now, r, false);
     detect_crash(now, r, reason);
     bool const declined =
         run == verdict::not_run &&
         (reason == upstream_error || reason == upstream_unavailable);
-    if (!declined) // an overloaded upstream is not faulty
+    if (!declined && !of_links) // an overloaded upstream is not faulty
     {
         outliers_.on_result(now, r.upstream, false, upstreams_);
     }
