VMs keep brittle upstreams from crashing by what they have to turn away

A refusal by such an upstream is told to all VMs at once. All of them let it rest for 250 ms and then send to it, and to the other upstreams of the service, in turns as for a limit that they name (limit_share), at 85 in 100 of what their slots bear by the time that requests take. Tried and dropped: rests alone (each rest moves load to the others), refusing the share of the resting ones, waiting requests in the reported load (stale by the time of one answer).

--- a/src/core/attempt_relay_test.cpp
+++ b/src/core/attempt_relay_test.cpp
@@ -32,7 +32,7 @@
 
 struct relaying_vm
 {
-    relaying_vm() : subject(options(), [this](command c) { take(c); })
+    relaying_vm() : subject(options(), [this](command const& c) { take(c); })
     {
         subject.handle(now, members_listed{{{"vm-2", other_vm + ":1", "x"}}});
         for (char const* const name : {"u1", "u2", "u3"})
--- a/src/core/crash_fixture_test.hpp
+++ b/src/core/crash_fixture_test.hpp
@@ -64,6 +64,9 @@
     {
         return header_list();
     };
+    // Requests that an upstream runs and keeps waiting; 0: any number. Beyond
+    // it, it turns them away as not run.
+    std::size_t room = 0;
     std::uint64_t seed = 1;
 };
 
@@ -131,6 +134,20 @@
         return tallies_[kind];
     }
 
+    // From now on an upstream crashes if it turns away more requests than this
+    // in a second; 0: none does. Sets its room.
+    void set_brittle(std::size_t refusals, std::size_t room)
+    {
+        brittle_ = refusals;
+        options_.room = room;
+    }
+
+    // The requests that upstreams have turned away.
+    std::size_t turned_away() const
+    {
+        return turned_away_;
+    }
+
     // The times at which upstreams crashed.
     std::vector<time_point> const& crashes() const
     {
@@ -343,6 +360,7 @@
         std::uint64_t incarnation = 1;
         time_point down_until;
         std::map<std::pair<std::size_t, attempt_id>, arrival> running;
+        std::vector<time_point> refusals; // of the last second
     };
 
     static constexpr duration connect_timeout = std::chrono::milliseconds(300);
@@ -545,13 +563,46 @@
     {
         tallies_[kinds_[what.request.id]].arrivals.push_back(now_);
         arrivals_.push_back({now_, from, what.address});
+        upstream& row = upstreams_.at(what.address);
+        if (options_.room > 0 && row.running.size() >= options_.room)
+        {
+            turn_away(from, what, row);
+            return;
+        }
         ++callers_[what.request.id].runs;
         bool const lost =
             std::bernoulli_distribution(options_.lost_answers)(random_);
-        upstreams_.at(what.address).running[{from, what.attempt}] = {
+        row.running[{from, what.attempt}] = {
             from, what.request, now_ + options_.first_byte, 0, lost};
     }
 
+    // Those of the options, and the load: running, waiting, slots.
+    header_list answer_headers(std::string const& of, upstream const& row) const
+    {
+        header_list headers = options_.answer_headers(of);
+        std::size_t const running =
+            std::min<std::size_t>(row.running.size(), options_.slots);
+        headers.push_back({"Load", fmt::format("{},{},{}", running,
+                                               row.running.size() - running,
+                                               options_.slots)});
+        return headers;
+    }
+
+    void turn_away(std::size_t from, start_attempt const& what, upstream& row)
+    {
+        ++turned_away_;
+        std::erase_if(row.refusals, [this](time_point each)
+                      { return now_ - each >= std::chrono::seconds(1); });
+        row.refusals.push_back(now_);
+        header_list headers = answer_headers(what.address, row);
+        headers.push_back({"Not-Run", "1"});
+        tell(from, upstream_head{what.attempt, 503, std::move(headers)});
+        if (brittle_ > 0 && row.refusals.size() > brittle_)
+        {
+            crash(row);
+        }
+    }
+
     void carry_out(std::size_t from, check_upstream const& what)
     {
         auto const link = link_of(from);
@@ -685,7 +736,8 @@
         if (each.events == 0)
         {
             tell(each.vm,
-                 upstream_head{attempt, 200, options_.answer_headers(from)});
+                 upstream_head{attempt, 200,
+                               answer_headers(from, upstreams_.at(from))});
             answers_.push_back({now_, each.vm, from});
         }
         ++each.events;
@@ -727,6 +779,8 @@
     relay_id next_relay_ = 1;
     std::map<request_id, caller_attempt> callers_;
     std::size_t concluded_crashes_ = 0;
+    std::size_t brittle_ = 0;
+    std::size_t turned_away_ = 0;
     std::multimap<time_point, std::pair<std::size_t, event>> later_;
     // The links of partitioned VMs, and what silent ones hold up.
     std::map<std::size_t, link_loss> links_;
--- a/src/core/dialect.hpp
+++ b/src/core/dialect.hpp
@@ -48,10 +48,13 @@
     std::optional<duration> pause; // it wants no requests for so long
     // Requests a second that it takes from all VMs together.
     std::optional<double> request_limit = {};
+    // It crashes if it has to turn away more requests than this in a second,
+    // of all VMs together, for want of room.
+    std::optional<std::uint32_t> refusal_limit = {};
 
     bool empty() const
     {
-        return !leaving && !pause && !request_limit;
+        return !leaving && !pause && !request_limit && !refusal_limit;
     }
 };
 
--- a/src/core/peer_exchange.cpp
+++ b/src/core/peer_exchange.cpp
@@ -75,6 +75,10 @@
         // Not forwarded: readers forward the directory's records to all VMs.
         requests.take_found_leaving();
     }
+    for (upstream_refusal const& row : update->refusals)
+    {
+        requests.merge_refusal(now, row);
+    }
     for (upstream_limit const& row : update->limits)
     {
         requests.merge_limit(now, row);
@@ -152,6 +156,12 @@
     {
         read_loads(now, requests.upstreams());
     }
+    peer_update refusals;
+    refusals.refusals = requests.take_refusals(now);
+    if (!refusals.refusals.empty())
+    {
+        send(reachable_peers(members), refusals); // each of them may add to it
+    }
     if (now >= urgent_due_)
     {
         peer_update urgent;
--- a/src/core/peer_update.hpp
+++ b/src/core/peer_update.hpp
@@ -45,6 +45,17 @@
     MSGPACK_DEFINE(upstream, incarnation)
 };
 
+// A brittle upstream has turned a request away.
+struct upstream_refusal
+{
+    std::string upstream;
+    std::uint64_t incarnation = 0;
+    std::int64_t age_us = 0;
+    std::int64_t hold_us = 0;        // how long a request holds a slot there
+    std::uint32_t refusal_limit = 0; // the refusals a second that it survives
+    MSGPACK_DEFINE(upstream, incarnation, age_us, hold_us, refusal_limit)
+};
+
 // Payload of peer_message_kind::request.
 struct peer_update
 {
@@ -77,12 +88,14 @@
     prompt_part_delta quarantined_parts;
     std::vector<upstream_limit> limits;
     bool partitioned = false; // the sender from its upstreams
+    std::vector<upstream_refusal> refusals;
     MSGPACK_DEFINE(usage, quarantined, leaving, handed_over, evidence,
                    quota_reports, request_counts, move_states, demand,
                    reading_reports, holds_duties, loads, leaving_upstreams,
                    relayed_quotas, cell, quota_sums, duty_holder,
                    configuration_version, wants_configuration,
-                   configuration_pieces, quarantined_parts, limits, partitioned)
+                   configuration_pieces, quarantined_parts, limits, partitioned,
+                   refusals)
 };
 
 std::string encode(peer_update const& update);
--- a/src/core/request_attempts.cpp
+++ b/src/core/request_attempts.cpp
@@ -571,6 +571,10 @@
         return;
     }
     bool const not_run = metadata.stated_verdict == verdict::not_run;
+    if (not_run && upstreams_.row(r.upstream).refusal_limit)
+    {
+        spare_brittle(now, r.upstream, r.upstream_incarnation);
+    }
     add_timeline_entry(
         "attempt_declined", r.request.id,
         fmt::format("attempt={} status={}", what.attempt, what.status));
@@ -761,6 +765,7 @@
         return;
     }
     outliers_.on_result(now, r->upstream, true, upstreams_);
+    record_hold(*r, now - r->attempt_started);
     end_attempt(now, *r);
     if (r->runs_alone)
     {
@@ -771,6 +776,16 @@
     finish(now, *r);
 }
 
+void request_path::record_hold(row const& r, duration held)
+{
+    constexpr int weight = 8; // of what is known
+    auto const [known, added] = mean_holds_.try_emplace(r.route.service, held);
+    if (!added)
+    {
+        known->second += (held - known->second) / weight;
+    }
+}
+
 void request_path::handle(time_point now, upstream_failed const& what)
 {
     event_time_ = now;
--- a/src/core/request_path.hpp
+++ b/src/core/request_path.hpp
@@ -169,6 +169,12 @@
         return std::exchange(found_leaving_, {});
     }
 
+    // Returns and clears the refusals by brittle upstreams, for the peers.
+    std::vector<upstream_refusal> take_refusals(time_point now);
+
+    // A peer has had a request turned away by a brittle upstream.
+    void merge_refusal(time_point now, upstream_refusal const& heard);
+
     // A peer has heard of an upstream's limit.
     void merge_limit(time_point now, upstream_limit const& heard);
 
@@ -410,6 +416,11 @@
     void end_wait_for_turn(row& r);
     void hear_answer(time_point now, leaving_upstream const& from,
                      answer_metadata const& metadata);
+    void spare_brittle(time_point now, upstream_index upstream,
+                       std::uint64_t incarnation);
+    void record_hold(row const& r, duration held);
+    bool take_refusal(time_point now, std::string const& upstream,
+                      std::uint64_t incarnation, duration hold);
     void log_limit(time_point now, std::string const& upstream,
                    std::string_view source);
     void use_fleet_position(time_point now, fleet_position position);
@@ -495,6 +506,15 @@
     std::optional<time_point> stop_deadline_;
     std::vector<std::string> handed_over_; // records to be sent to peers
     std::vector<leaving_upstream> found_leaving_;
+    struct brittle_refusal
+    {
+        time_point at;
+        std::uint64_t incarnation = 0;
+        duration hold{};
+    };
+    std::map<std::string, brittle_refusal> found_refusals_; // by upstream
+    // How long answered attempts took, by service; a moving average.
+    std::map<std::string, duration> mean_holds_;
     std::map<std::string, upstream_report> answer_loads_;
     // Requests that wait for a turn, by service.
     std::map<std::string, std::size_t> waiting_for_turn_;
--- a/src/core/upstream_table.cpp
+++ b/src/core/upstream_table.cpp
@@ -73,8 +73,11 @@
         row.ejected_until = time_point();
         row.paused_until = time_point();
         row.report.reset();
-        row.limit.reset();
-        row.limit_since = time_point();
+        if (row.limit_imposed_until == time_point())
+        {
+            row.limit.reset();
+            row.limit_since = time_point();
+        }
         row.limit_heard_at = time_point();
     }
     remove_from_ring(index);
@@ -134,6 +137,41 @@
     return true;
 }
 
+bool upstream_table::hear_refusal_limit(std::string_view name,
+                                        std::uint64_t incarnation,
+                                        std::optional<std::uint32_t> refusals)
+{
+    upstream_row const* const row = find_row(name, incarnation);
+    if (row == nullptr || row->refusal_limit == refusals)
+    {
+        return false;
+    }
+    for (ring_point const& point : ring(row->profile.service))
+    {
+        rows_[point.upstream].refusal_limit = refusals;
+    }
+    return true;
+}
+
+void upstream_table::impose_limit(time_point now, std::string_view name,
+                                  std::uint64_t incarnation, double per_second,
+                                  time_point from, time_point until)
+{
+    upstream_row* const row = find_row(name, incarnation);
+    bool const is_imposed = row != nullptr && now < row->limit_imposed_until;
+    if (row == nullptr ||
+        (row->limit && !is_imposed && row->limit->per_second() <= per_second))
+    {
+        return;
+    }
+    row->limit_imposed_until = std::max(row->limit_imposed_until, until);
+    // Turns that have begun already are not lost unless it has to rest.
+    if (!is_imposed || from > now)
+    {
+        set_limit(now, from, *row, per_second);
+    }
+}
+
 bool upstream_table::hear_limit(time_point now, std::string_view name,
                                 std::uint64_t incarnation,
                                 std::optional<double> per_second)
@@ -144,10 +182,15 @@
         return false;
     }
     row->limit_heard_at = now;
-    if (has_limit(*row, per_second))
+    bool const is_imposed = now < row->limit_imposed_until;
+    bool const keeps_imposed =
+        is_imposed && row->limit &&
+        (!per_second || *per_second >= row->limit->per_second());
+    if (keeps_imposed || has_limit(*row, per_second))
     {
         return false;
     }
+    row->limit_imposed_until = time_point();
     set_limit(now, now, *row, per_second);
     return true;
 }
@@ -155,7 +198,7 @@
 bool upstream_table::merge_limit(time_point now, upstream_limit const& heard)
 {
     upstream_row* const row = find_row(heard.upstream, heard.incarnation);
-    if (row == nullptr)
+    if (row == nullptr || now < row->limit_imposed_until)
     {
         return false;
     }
@@ -210,7 +253,8 @@
         bool const ended_lately = !row.limit &&
                                   row.limit_since != time_point() &&
                                   now - row.limit_since < limit_memory;
-        if (row.present && (row.limit || ended_lately))
+        if (row.present && now >= row.limit_imposed_until &&
+            (row.limit || ended_lately))
         {
             result.push_back({row.profile.name, row.incarnation,
                               row.limit ? row.limit->per_second() : 0,
--- a/src/core/upstream_table.hpp
+++ b/src/core/upstream_table.hpp
@@ -76,9 +76,15 @@
     time_point paused_until;     // requested by the upstream itself
     std::uint32_t in_flight = 0; // attempts of this VM
     std::optional<upstream_report> report;
+    // It crashes if it turns away more requests in a second; see
+    // request_path::spare_brittle. Holds for its successors too, until an
+    // answer shows that it has ended.
+    std::optional<std::uint32_t> refusal_limit;
     std::optional<limit_share> limit; // on the requests of all VMs
     time_point limit_since;           // it names this limit, or none
-    time_point limit_heard_at;        // the last answer that told this VM
+    // Until then the VMs keep to `limit` though the upstream names none.
+    time_point limit_imposed_until;
+    time_point limit_heard_at; // the last answer that told this VM
 
     // Whether new work may be sent to it.
     bool takes_work(time_point now) const
@@ -123,12 +129,24 @@
     bool pause(std::string_view name, std::uint64_t incarnation,
                time_point until);
 
+    // An answer of the upstream says how many refusals a second it survives, or
+    // shows that there is no such limit. All upstreams of its service say the
+    // same. Returns whether this is news of the upstream.
+    bool hear_refusal_limit(std::string_view name, std::uint64_t incarnation,
+                            std::optional<std::uint32_t> refusals);
+
     // An answer of the upstream to this VM names a limit, or shows that there
     // is none.
     bool hear_limit(time_point now, std::string_view name,
                     std::uint64_t incarnation,
                     std::optional<double> per_second);
 
+    // Has the VMs keep to a limit that the upstream does not name, unless they
+    // keep to a lower one. Turns are counted from `from`.
+    void impose_limit(time_point now, std::string_view name,
+                      std::uint64_t incarnation, double per_second,
+                      time_point from, time_point until);
+
     // A peer has heard of a limit.
     bool merge_limit(time_point now, upstream_limit const& heard);
 
