A connection that is silent for three seconds is given up

The kernel now gives up such a connection, by keep-alive probes where nothing is under way and by TCP_USER_TIMEOUT where bytes are. The latter decides also when probes give up, whatever their number, so both are the same time. An upstream that is silent for a second or two keeps its requests.

--- a/src/app/server.cpp
+++ b/src/app/server.cpp
@@ -40,6 +40,8 @@
 // An upstream that does not answer a connection within this is not known to
 // have crashed.
 constexpr duration upstream_check_timeout = std::chrono::milliseconds(300);
+// Sound upstreams may be silent for a second or so.
+constexpr duration platform_dead_peer_timeout = std::chrono::seconds(3);
 // The upstreams' connections are limited over all VMs.
 constexpr std::size_t platform_idle_connections = 16;
 
@@ -131,6 +133,7 @@
     if (options.platform_process)
     {
         limits.idle_connections_per_address = platform_idle_connections;
+        limits.dead_peer_timeout = platform_dead_peer_timeout;
     }
     return limits;
 }
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -1,5 +1,6 @@
 #include "net/http_client.hpp"
 
+#include "net/dead_peer.hpp"
 #include "net/endpoint.hpp"
 #include "net/http_parser.hpp"
 #include "net/socket_write.hpp"
@@ -233,8 +234,7 @@
         row.deadline = after(now, row.timeouts.connect);
         watch(exchange, row.socket);
         QObject::connect(row.socket, &QTcpSocket::connected, row.socket,
-                         [this, exchange]
-                         { write(rows_.at(exchange), steady_clock::now()); });
+                         [this, exchange] { connected(exchange); });
         // Queued, since a refusal by this machine is reported at once.
         QMetaObject::invokeMethod(
             row.socket,
@@ -253,6 +253,17 @@
         }
     }
 
+    void connected(exchange_id exchange)
+    {
+        exchange_row& row = rows_.at(exchange);
+        if (limits_.dead_peer_timeout > duration::zero())
+        {
+            give_up_dead_peer(static_cast<int>(row.socket->socketDescriptor()),
+                              limits_.dead_peer_timeout);
+        }
+        write(row, steady_clock::now());
+    }
+
     // Hands the request to the kernel, and what it does not take to the
     // socket.
     static void write(exchange_row& row, steady_time now)
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -38,6 +38,9 @@
     std::size_t idle_connections_per_address = 64;
     std::size_t idle_connections = 1024;
     duration idle_lifetime = std::chrono::seconds(30);
+    // A connection whose other end acknowledges nothing for so long is lost;
+    // zero: the kernel decides.
+    duration dead_peer_timeout = duration::zero();
 };
 
 // Zero means no timeout.
