--- a/src/core/crash_fixture_test.hpp
+++ b/src/core/crash_fixture_test.hpp
@@ -198,6 +198,12 @@
         }
     }
 
+    // An upstream says nothing to anybody for a time, and then goes on.
+    void silence(std::string const& name, duration span)
+    {
+        upstreams_.at(name).silent_until = now_ + span;
+    }
+
     // Partitions a VM from all upstreams.
     void partition(std::size_t vm, link_loss how)
     {
@@ -359,6 +365,7 @@
     {
         std::uint64_t incarnation = 1;
         time_point down_until;
+        time_point silent_until;
         std::map<std::pair<std::size_t, attempt_id>, arrival> running;
         std::vector<time_point> refusals; // of the last second
     };
@@ -537,7 +544,8 @@
         bool const reused = kept > 0;
         kept -= reused ? 1 : 0;
         auto const link = link_of(from);
-        if (link == link_loss::silent)
+        bool const silent = now_ < upstreams_.at(what.address).silent_until;
+        if (link == link_loss::silent || (silent && !reused))
         {
             reused ? held_starts_[from].push_back(what)
                    : static_cast<void>(later_.emplace(
@@ -608,7 +616,8 @@
         auto const link = link_of(from);
         bool const refused =
             link || now_ < upstreams_.at(what.address).down_until;
-        if (link == link_loss::silent)
+        if (link == link_loss::silent ||
+            now_ < upstreams_.at(what.address).silent_until)
         {
             later_.emplace(
                 now_ + connect_timeout,
@@ -694,6 +703,10 @@
                     events_.emplace_back(i, entry(name, row));
                 }
             }
+            if (now_ < row.silent_until)
+            {
+                continue;
+            }
             if (std::ranges::any_of(row.running,
                                     [&](auto const& each) {
                                         return now_ >=
--- a/src/core/partitioned_vm_test.cpp
+++ b/src/core/partitioned_vm_test.cpp
@@ -412,4 +412,37 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(upstreams_that_are_silent_for_a_second)
+
+// Their requests are answered late, and nothing is held against them.
+BOOST_AUTO_TEST_CASE(keep_their_requests_and_are_not_taken_for_crashed)
+{
+    for (std::size_t const count : {1u, 3u})
+    {
+        for (auto const make : {nine_vms_in_four_domains, streams})
+        {
+            auto const options = make(count);
+            test::crash_world world(options, never_fatal);
+            send_for(world, options.vms, seconds(4), 100, seconds(4));
+            for (std::size_t i = 0; i < count; ++i)
+            {
+                world.silence(fmt::format("desk-{}", i), milliseconds(1'200));
+            }
+            send_for(world, options.vms, seconds(3), 100, seconds(4));
+            world.run(seconds(4));
+            for (auto const& [id, each] : world.callers())
+            {
+                BOOST_TEST((each.served && each.runs == 1), id);
+            }
+            BOOST_TEST(world.concluded_crashes() == 0u);
+            for (std::size_t vm = 0; vm < options.vms; ++vm)
+            {
+                BOOST_TEST(!world.vm_at(vm).requests().reach().partitioned());
+            }
+        }
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 } // namespace amarantharch
