--- a/src/core/request_path.hpp
+++ b/src/core/request_path.hpp
@@ -54,6 +54,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -199,6 +200,9 @@
     bool is_on_dead_connection(time_point now, upstream_index upstream,
                                time_point sent) const;
 
+    // Whether an attempt failed because no connection was made.
+    static bool is_unconnected(std::string_view reason);
+
     // Whether the upstream gets no other request now.
     bool is_reserved(upstream_index upstream) const
     {
@@ -308,6 +312,9 @@
 private:
     // retry_after of failures that have no better estimate.
     static constexpr duration failure_retry_after = std::chrono::seconds(1);
+    // Reason of failures and refusals of a VM that is partitioned.
+    static constexpr std::string_view upstreams_unreachable =
+        "upstreams_unreachable";
 
     enum class stage : std::uint8_t
     {
