Only a request that made no connection waits for a doubt; a late event loop sees its connection

A request whose connection was lost is sent again at once, as before. A check of a connection that ends in a late turn of the event loop counted as unanswered though the connection stood.

--- a/src/core/partitioned_vm_test.cpp
+++ b/src/core/partitioned_vm_test.cpp
@@ -269,12 +269,12 @@
             send_for(world, options.vms, seconds(2), 200, seconds(1));
             for (int round = 0; round < 3; ++round)
             {
-                for (std::size_t const vm : {0, 1, 4, 6, 7})
+                for (std::size_t const vm : {0u, 1u, 4u, 6u, 7u})
                 {
                     world.partition(vm, row.value);
                 }
                 send_for(world, options.vms, seconds(4), 200, seconds(1));
-                for (std::size_t const vm : {0, 1, 4, 6, 7})
+                for (std::size_t const vm : {0u, 1u, 4u, 6u, 7u})
                 {
                     world.heal(vm);
                 }
@@ -303,7 +303,7 @@
         options.first_byte = milliseconds(150);
         test::crash_world world(options, never_fatal);
         send_for(world, options.vms, seconds(4), 200);
-        for (std::size_t const vm : {0, 1, 4, 6, 7})
+        for (std::size_t const vm : {0u, 1u, 4u, 6u, 7u})
         {
             world.partition(vm, link_loss::reset);
         }
@@ -376,7 +376,7 @@
         auto const options = nine_vms_in_four_domains(seed);
         test::crash_world world(options, never_fatal);
         send_for(world, options.vms, seconds(2), 100);
-        for (std::size_t const vm : {0, 4, 8})
+        for (std::size_t const vm : {0u, 4u, 8u})
         {
             world.partition(vm, link_loss::silent);
         }
--- a/src/core/request_attempts.cpp
+++ b/src/core/request_attempts.cpp
@@ -252,7 +252,7 @@
         refuse_for_prompt_part(now, r);
         return;
     }
-    if (r.attempts > 0 && reach_.in_doubt())
+    if (r.unconnected && reach_.in_doubt())
     {
         wait_for_upstream(now, r); // it will be known soon which way is open
         return;
@@ -689,6 +689,7 @@
     }
     end_attempt(now, r);
     r.run = combine(r.run, run);
+    r.unconnected = cause == retry_cause::not_connected;
     if (refuse_if_quarantined(now, r) || schedule_retry(now, r, cause))
     {
         return;
--- a/src/core/request_path.hpp
+++ b/src/core/request_path.hpp
@@ -344,6 +344,7 @@
         time_point attempt_started;
         std::string relay; // the VM that runs the attempt; empty: this one
         std::uint32_t attempts = 0;
+        bool unconnected = false;       // the last attempt made no connection
         std::uint8_t urgency = 0;       // see attempt_metadata
         double quota_units = 0;         // charged to the organisation's quota
         bool execution_started = false; // an upstream has begun to answer
--- a/src/core/upstream_reach.cpp
+++ b/src/core/upstream_reach.cpp
@@ -110,8 +110,9 @@
         }
     }
     std::ranges::shuffle(candidates, random_);
-    std::ranges::stable_partition(candidates, [this](upstream_index each)
-                                  { return !failures_.contains(each); });
+    std::stable_partition(candidates.begin(), candidates.end(),
+                          [this](upstream_index each)
+                          { return !failures_.contains(each); });
     candidates.resize(std::min(candidates.size(), options_.sample));
     return candidates;
 }
--- a/src/net/connection_check.cpp
+++ b/src/net/connection_check.cpp
@@ -39,7 +39,13 @@
                      });
     QTimer::singleShot(
         std::chrono::duration_cast<std::chrono::milliseconds>(timeout), socket,
-        [finish] { finish(connection_outcome::unknown); });
+        [socket, finish]
+        {
+            // A loop that is late may run this before it sees the connection,
+            // which is then reported from here.
+            (void)socket->waitForConnected(0);
+            finish(connection_outcome::unknown);
+        });
     // Queued, since this machine may refuse at once.
     QMetaObject::invokeMethod(
         socket,
