--- a/src/core/attempt_relay.hpp
+++ b/src/core/attempt_relay.hpp
@@ -10,6 +10,7 @@
 // What the upstream says of itself in an answer, or a failed connection shows,
 // counts at this VM too: a relayed attempt must not reach an upstream that this
 // VM knows to leave, to want a pause or to be another incarnation.
+//
 // Cost: O(log relayed attempts) for each event.
 #ifndef AMARANTHARCH_CORE_ATTEMPT_RELAY_HPP
 #define AMARANTHARCH_CORE_ATTEMPT_RELAY_HPP
--- a/src/core/partitioned_vm_test.cpp
+++ b/src/core/partitioned_vm_test.cpp
@@ -293,8 +293,8 @@
     }
 }
 
-// Nine sound upstreams of the users' record were marked as crashed, and sound
-// VMs refused requests for it.
+// In the users' record three VMs concluded 56 crashes of sound upstreams, and
+// other VMs refused sound requests for it.
 BOOST_AUTO_TEST_CASE(do_not_take_it_for_crashes_of_upstreams)
 {
     for (std::uint64_t seed = 1; seed <= 3; ++seed)
@@ -313,8 +313,8 @@
     }
 }
 
-// Attempts that are relayed, and those of the other VMs, come to the upstream
-// as if all VMs reached it.
+// A stream that was cut goes on where it ended, at another upstream and through
+// another VM.
 BOOST_AUTO_TEST_CASE(have_streams_resumed_without_a_gap)
 {
     for (auto const& row : test::link_loss_names)
--- a/src/core/request_limits.cpp
+++ b/src/core/request_limits.cpp
@@ -14,7 +14,8 @@
 
 // How long a brittle upstream that has turned a request away gets none.
 constexpr duration brittle_rest = std::chrono::milliseconds(250);
-// How long after that the VMs keep to the part of what it bears.
+// How long after a refusal the VMs keep to a part of what the slots bear, and
+// to which: the time of an answer is an estimate, and turns may bunch.
 constexpr duration brittle_span = std::chrono::seconds(10);
 constexpr double brittle_load = 0.85;
 // How long a request holds a slot of a service that has answered none.
--- a/src/core/upstream_reach.hpp
+++ b/src/core/upstream_reach.hpp
@@ -18,6 +18,7 @@
 //
 // Only new connections count: kept ones may live on while new ones are refused,
 // or be dead without a sign.
+//
 // Cost: up to `sample` connections for each doubt, `sample` in a
 // round_interval while partitioned; O(upstreams) for a round.
 #ifndef AMARANTHARCH_CORE_UPSTREAM_REACH_HPP
