--- a/review/standin/deployment.h
+++ b/review/standin/deployment.h
@@ -14,7 +14,7 @@
 inline constexpr char const* plain_service = "register-desk";
 
 // The routes of the sheet: streams that may and may not be resumed, calls that
-// may and may not be repeated.
+// may and may not be repeated; and one for calls with large bodies.
 inline std::string configuration(int version)
 {
     auto const route = [](std::string const& name, std::string const& kind,
@@ -40,6 +40,9 @@
                  false) +
            "," +
            route("status", "idempotent", plain_service, 1000, 2, false, false) +
+           "," +
+           route("upload", "non_idempotent", plain_service, 9000, 1, false,
+                 false) +
            "],\"Services\":[{\"Name\":\"" + model_service +
            "\",\"HealthPath\":\"/health\",\"MaxConnections\":370,"
            "\"Protocol\":\"h1\",\"Tls\":false},{\"Name\":\"" +
