Review: the stand-ins stand with their cases

Cause: the folders under review/ are to be the cases only; review/standin was another one. Done: each stand-in moved into the folder of its case, what they share to review/ itself; review/build.sh follows. Nothing else in them changed.

--- a/review/standin/huge_length.cc
+++ b/review/1/huge_length.cc
@@ -1,7 +1,7 @@
 // Servers in trouble break off some of their answers, whose heads state a
 // length with many digits. The platform starts a process that has ended again.
 // Fault: processes end by themselves on two machines, three times each.
-#include "deployment.h"
+#include "../deployment.h"
 
 using namespace rig;
 
--- a/review/standin/endless_body.cc
+++ b/review/2/endless_body.cc
@@ -1,7 +1,7 @@
 // Servers in trouble send bytes without end where the size of the next chunk of
 // a body is due. The platform ends a process whose memory is over its limit and
 // starts it again. Fault: processes end so on two machines, three times each.
-#include "deployment.h"
+#include "../deployment.h"
 
 using namespace rig;
 
--- a/review/standin/smuggled_request.cc
+++ b/review/3/smuggled_request.cc
@@ -1,7 +1,7 @@
 // A client sends requests whose bodies are the text of another request, with
 // transfer codings that do not end in "chunked". UNASKED: a server runs the
 // request inside.
-#include "deployment.h"
+#include "../deployment.h"
 
 using namespace rig;
 
--- a/review/standin/short_requests.cc
+++ b/review/4/short_requests.cc
@@ -1,7 +1,7 @@
 // Each machine gets one short request after the other from one client. A server
 // leaves as planned meanwhile. DRAIN: a request that a client sent later than
 // DrainMs after the store had accepted that the server is draining reaches it.
-#include "deployment.h"
+#include "../deployment.h"
 
 #include <random>
 
--- a/review/build.sh
+++ b/review/build.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-for source in review/standin/*.cc; do
+for source in review/[1-5]/*.cc; do
     program=target/review/$(basename "$source" .cc)
     echo "review: $source -> $program"
     g++ -std=c++20 -O2 -Wall -Wextra -pthread "$source" -o "$program"
