An answer's unfinished framing is bounded: bytes without end are malformed

Cause: the parser takes the line of a chunk's size and the trailer only when they are whole, and nothing bounded the bytes kept for it until then (http_client, input_buffer). Ruled out: the body's own pieces (handed on, paused by a slow caller), bytes after an answer's end, heads (limited).

Change: what the parser leaves of an answer in progress may be header_bytes at most; more is malformed_answer and closes the connection.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -333,7 +333,9 @@
                 break;
             }
         }
-        return true;
+        // What is left of an answer in progress is unfinished framing.
+        return row.parser->is_done() ||
+               row.input.view().size() <= limits_.header_bytes;
     }
 
     // Starts anew after an interim answer; false if there is one too many.
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -31,6 +31,8 @@
 
 struct http_client_limits
 {
+    // Of a head, of the line that gives a chunk's size, and of a trailer. The
+    // parser takes each of them only when it is whole.
     std::uint32_t header_bytes = 64 * 1024;
     // What a paused answer may hold in memory.
     std::size_t read_buffer_bytes = std::size_t{256} << 10;
--- a/src/net/http_client_test.cpp
+++ b/src/net/http_client_test.cpp
@@ -101,6 +101,17 @@
     char const* failure = nullptr; // reason, or none: the answer is whole
 };
 
+// Header fields of 100 kB without the empty line that ends them.
+std::string endless_fields()
+{
+    std::string fields;
+    while (fields.size() < 100'000)
+    {
+        fields += "X: " + std::string(1'000, 'x') + "\r\n";
+    }
+    return fields;
+}
+
 std::vector<answer_case> answer_cases()
 {
     std::string const head = "HTTP/1.1 200 OK\r\n";
@@ -137,6 +148,13 @@
          "", "malformed_answer"},
         {"endless head", head + "X: " + std::string(100'000, 'x'), ending::open,
          "", "malformed_answer"},
+        {"endless size of a chunk", chunked + std::string(100'000, '1'),
+         ending::open, "", "malformed_answer"},
+        {"endless extension of a chunk",
+         chunked + "2;x=" + std::string(100'000, 'x'), ending::open, "",
+         "malformed_answer"},
+        {"endless trailer", chunked + "0\r\n" + endless_fields(), ending::open,
+         "", "malformed_answer"},
     };
 }
 
