--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -93,6 +93,12 @@
      "headers_too_large"},
 };
 
+refusal malformed()
+{
+    return {status_bad_request, verdict::not_run, "malformed_request",
+            duration::zero()};
+}
+
 refusal refusal_of(boost::beast::error_code error)
 {
     for (parse_failure const& row : parse_failures)
@@ -103,8 +109,7 @@
                     duration::zero()};
         }
     }
-    return {status_bad_request, verdict::not_run, "malformed_request",
-            duration::zero()};
+    return malformed();
 }
 
 refusal timeout_refusal(std::string reason)
@@ -352,6 +357,11 @@
         {
             deliver(row);
         }
+        else if (row.input.view().size() > limits_.header_bytes)
+        {
+            // The line of a chunk's size or a trailer, without an end.
+            reject(row, malformed());
+        }
     }
 
     void start_request(connection& row, steady_time now)
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -10,7 +10,8 @@
 // its caller. Every limit is a setting; a request that breaks one is refused
 // as not_run with a reason of its own:
 //
-//     400 malformed_request     not HTTP/1.x, or framed in two ways
+//     400 malformed_request     not HTTP/1.x, framed in two ways, or with a
+//                               chunk's size line or trailer over header_bytes
 //     408 header_timeout        head not whole within header_timeout
 //     408 body_timeout          body not whole within body_timeout
 //     413 body_too_large        by Content-Length or by chunks
@@ -46,6 +47,7 @@
 
 struct http_server_limits
 {
+    // Of a head, of the line that gives a chunk's size, and of a trailer.
     std::uint32_t header_bytes = 16 * 1024;
     std::uint64_t body_bytes = std::uint64_t{8} << 20;
     // All bodies that are being read, together.
