Requests sent ahead wait in the socket, not in the process

After each answer the server read as much as the socket held (64 KB) beside what already waited, and took one request of it, so that small requests sent ahead at line speed filled the memory.

Change: what waits is parsed first; the socket is read only once it does not hold a whole request.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -315,8 +315,17 @@
         {
             return; // the next request waits in the socket
         }
+        bool const is_open = row.state != phase::closing && !row.doomed;
+        if (is_open && row.state == phase::idle && !row.input.empty())
+        {
+            parse(row, steady_clock::now());
+            if (!row.parser)
+            {
+                return; // what it holds is enough for a request
+            }
+        }
         QByteArray const bytes = socket->readAll();
-        if (row.state == phase::closing || row.doomed)
+        if (!is_open)
         {
             return;
         }
--- a/src/net/http_server_test.cpp
+++ b/src/net/http_server_test.cpp
@@ -227,6 +227,30 @@
     BOOST_TEST(f.wait_for_requests(200));
 }
 
+// Guards against unbounded memory: with each answer, as much as the socket held
+// was read beside the requests that already waited.
+BOOST_AUTO_TEST_CASE(requests_sent_ahead_wait_outside_the_process)
+{
+    constexpr std::size_t count = 1000;
+    fixture f;
+    std::string ahead;
+    while (ahead.size() < std::size_t{64} << 20)
+    {
+        ahead += get_a;
+    }
+    peer_socket caller(f.server.port());
+    caller.socket().write(ahead.data(), static_cast<qint64>(ahead.size()));
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        BOOST_REQUIRE(f.wait_for_requests(i + 1));
+        f.server.answer(f.requests[i].exchange, 200, {}, "");
+    }
+    run_pending();
+    // The kernel's buffers hold some MiB.
+    BOOST_TEST(caller.socket().bytesToWrite() >
+               static_cast<qint64>(ahead.size() / 2));
+}
+
 BOOST_AUTO_TEST_CASE(any_split_of_the_bytes_gives_the_same_requests)
 {
     std::string const bytes =
