A message with an unknown transfer coding is refused: its body was run

Cause: the parser takes such a message for one without a body, or for one that ends with its connection, and nobody looked at the field. Ruled out: a length beside "chunked", two lengths, "chunked" twice (refused by the parser).

Change: has_known_framing. A request with any transfer coding but "chunked" alone, or of HTTP/1.0 with one, is 400 malformed_request and closes the connection (RFC 9112, 6.1 and 6.3).

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -324,7 +324,9 @@
             {
                 return false;
             }
-            if (row.parser->is_header_done() && !skip_interim(row))
+            if (row.parser->is_header_done() &&
+                !(has_known_framing<false>(row.parser->get()) &&
+                  skip_interim(row)))
             {
                 return false;
             }
--- a/src/net/http_parser.hpp
+++ b/src/net/http_parser.hpp
@@ -10,9 +10,11 @@
 #include "core/call.hpp"
 
 #include <boost/asio/buffer.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -22,12 +24,31 @@
 
 namespace http = boost::beast::http;
 
+inline constexpr unsigned version_1_1 = 11;
+
 // True for fields that end at the next hop, such as Connection.
 bool is_hop_by_hop(http::field field);
 
 // True if `value`'s comma-separated list holds `token`, ignoring case.
 bool lists_token(std::string_view value, std::string_view token);
 
+// False for a message whose end cannot be known for certain: one with a
+// transfer coding other than "chunked" alone, or one of HTTP/1.0 with any
+// (RFC 9112, 6.1 and 6.3). The parser takes it for one without a body, or for
+// one that ends with its connection.
+template <bool IsRequest>
+bool has_known_framing(http::header<IsRequest> const& message)
+{
+    auto const codings = message.equal_range(http::field::transfer_encoding);
+    return std::all_of(codings.first, codings.second,
+                       [&](auto const& coding)
+                       {
+                           return message.version() >= version_1_1 &&
+                                  boost::beast::iequals(coding.value(),
+                                                        "chunked");
+                       });
+}
+
 // The fields of `message`, less those that concern one connection only and
 // those that its Connection field names.
 template <bool IsRequest>
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -356,6 +356,11 @@
         }
         if (row.parser->is_header_done() && row.state == phase::head)
         {
+            if (!has_known_framing<true>(row.parser->get()))
+            {
+                reject(row, malformed());
+                return;
+            }
             start_body(row, now);
         }
         if (!charge_body(row))
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -10,8 +10,9 @@
 // its caller. Every limit is a setting; a request that breaks one is refused
 // as not_run with a reason of its own:
 //
-//     400 malformed_request     not HTTP/1.x, framed in two ways, or with a
-//                               chunk's size line or trailer over header_bytes
+//     400 malformed_request     not HTTP/1.x, framed in two ways or in one that
+//                               is not known, or with a chunk's size line or
+//                               trailer over header_bytes
 //     408 header_timeout        head not whole within header_timeout
 //     408 body_timeout          body not whole within body_timeout
 //     413 body_too_large        by Content-Length or by chunks
--- a/src/net/http_server_test.cpp
+++ b/src/net/http_server_test.cpp
@@ -415,6 +415,39 @@
     }
 }
 
+// Guards against request smuggling: a body whose transfer coding was not known
+// was taken for the next request.
+BOOST_AUTO_TEST_CASE(a_body_of_unknown_length_is_not_read_as_a_request)
+{
+    std::vector<std::string> const heads{
+        post + "Transfer-Encoding: xchunked\r\n\r\n",
+        post + "Transfer-Encoding: identity\r\n\r\n",
+        post + "Transfer-Encoding: \r\n\r\n",
+        post + "Transfer-Encoding: \"chunked\"\r\n\r\n",
+        post + "Transfer-Encoding: chunked, identity\r\n\r\n",
+        post + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+        post + "Transfer-Encoding: chunked;x=y\r\n\r\n",
+        post + "Transfer-Encoding: identity\r\nContent-Length: 0\r\n\r\n",
+        post + "Transfer-Encoding: identity\r\n"
+               "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        "GET /a HTTP/1.1\r\nTransfer-Encoding: identity\r\n\r\n",
+        "POST /p HTTP/1.0\r\nConnection: keep-alive\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"};
+    for (std::string const& head : heads)
+    {
+        BOOST_TEST_CONTEXT(head)
+        {
+            fixture f;
+            peer_socket caller(f.server.port());
+            caller.send(head + get_b);
+            BOOST_REQUIRE(run_until([&] { return caller.closed; }));
+            BOOST_TEST(caller.received.starts_with("HTTP/1.1 400 "));
+            BOOST_TEST(caller.got("\"reason\":\"malformed_request\""));
+            BOOST_TEST(f.requests.empty());
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_refused_body_frees_its_memory)
 {
     fixture f({.body_bytes = 1000, .body_memory_bytes = 1500});
