Bodies take memory as they arrive: an announced length ended the process

Cause: Boost.Beast's string_body reserves the announced length when the head has been read; answers have no limit, as they are passed on in pieces. It throws out of put(), which reports its other errors as error codes. Ruled out: the size of a chunk (nothing is reserved for it; a row shows it).

Change: arriving_body reserves nothing, for requests too, whose heads reserved up to their limit of 8 MB each before a byte of the body came.

The row "length beyond all memory" of http_client_test/answers/are_whole_or_failed ended with std::bad_alloc before.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -27,7 +27,7 @@
 namespace
 {
 
-using response_parser = http::response_parser<http::string_body>;
+using response_parser = http::response_parser<arriving_body>;
 using steady_clock = std::chrono::steady_clock;
 using steady_time = steady_clock::time_point;
 
--- a/src/net/http_parser.hpp
+++ b/src/net/http_parser.hpp
@@ -10,9 +10,9 @@
 #include "core/call.hpp"
 
 #include <boost/asio/buffer.hpp>
+#include <boost/beast/core/buffers_range.hpp>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include <algorithm>
 #include <cstdint>
@@ -24,6 +24,51 @@
 
 namespace http = boost::beast::http;
 
+// A body that takes memory as its bytes arrive. http::string_body reserves the
+// announced length, which a faulty sender may set to any number.
+struct arriving_body
+{
+    using value_type = std::string;
+
+    class reader
+    {
+    public:
+        template <bool IsRequest, typename Fields>
+        reader(http::header<IsRequest, Fields>& /*head*/, value_type& body)
+            : body_(body)
+        {
+        }
+
+        void init(boost::optional<std::uint64_t> const& /*length*/,
+                  boost::beast::error_code& error)
+        {
+            error = {};
+        }
+
+        template <typename Buffers>
+        std::size_t put(Buffers const& buffers, boost::beast::error_code& error)
+        {
+            error = {};
+            std::size_t taken = 0;
+            for (auto const buffer : boost::beast::buffers_range_ref(buffers))
+            {
+                body_.append(static_cast<char const*>(buffer.data()),
+                             buffer.size());
+                taken += buffer.size();
+            }
+            return taken;
+        }
+
+        void finish(boost::beast::error_code& error)
+        {
+            error = {};
+        }
+
+    private:
+        value_type& body_;
+    };
+};
+
 inline constexpr unsigned version_1_1 = 11;
 
 // True for fields that end at the next hop, such as Connection.
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -23,7 +23,7 @@
 namespace
 {
 
-using request_parser = http::request_parser<http::string_body>;
+using request_parser = http::request_parser<arriving_body>;
 using steady_clock = std::chrono::steady_clock;
 using steady_time = steady_clock::time_point;
 
