Events do not put off ticks: short requests kept a VM from its timer

Cause: server::set_pace set the interval of the tick timer after each event, 10 ms while a request was in progress and 50 ms while none was, and setting the interval of a running QTimer starts it anew. Under requests shorter than 10 ms and pauses shorter than 50 ms it never fired; the reading of the store and all else that hangs on ticks stood still.

Change: app/tick_timer. A faster pace takes effect at once if the next tick is further away, a slower one with the next tick.

--- a/src/app/server.cpp
+++ b/src/app/server.cpp
@@ -220,7 +220,10 @@
                  upstream_limits(options_)),
       admin_(admin_handlers()),
       timeline_(options_.vm, options_.memory.timeline_bytes),
-      engines_(engine_timeout)
+      engines_(engine_timeout),
+      tick_timer_(
+          std::chrono::duration_cast<std::chrono::milliseconds>(tick_interval),
+          idle_tick_interval, [this] { tick(); })
 {
     set_publishers(public_keys(options_));
     if (!options_.log_address.empty())
@@ -337,10 +340,7 @@
 
 void server::start_timers()
 {
-    QObject::connect(&tick_timer_, &QTimer::timeout, &tick_timer_,
-                     [this] { tick(); });
-    tick_timer_.start(
-        std::chrono::duration_cast<std::chrono::milliseconds>(tick_interval));
+    tick_timer_.start();
     QObject::connect(&platform_timer_, &QTimer::timeout, &platform_timer_,
                      [this]
                      {
@@ -364,7 +364,7 @@
          {"timeout_ms", fmt::to_string(to_millis(timeout))},
          {"requests", fmt::to_string(node_.requests().requests_in_flight())}});
     tell(stop_requested{*drain_until_});
-    QTimer::singleShot(stop_listening_after(), &tick_timer_,
+    QTimer::singleShot(stop_listening_after(), &platform_timer_,
                        [this] { callers_.drain(); });
 }
 
@@ -528,14 +528,7 @@
 {
     bool const busy = drain_until_ || !node_.requests().idle() ||
                       node_.control().log().queued_bytes() > 0;
-    auto const wanted =
-        busy ? std::chrono::duration_cast<std::chrono::milliseconds>(
-                   tick_interval)
-             : idle_tick_interval;
-    if (tick_timer_.intervalAsDuration() != wanted)
-    {
-        tick_timer_.setInterval(wanted);
-    }
+    tick_timer_.set_pace(busy ? tick_pace::fast : tick_pace::slow);
 }
 
 void server::carry_out(start_attempt const& what)
--- a/src/app/server.hpp
+++ b/src/app/server.hpp
@@ -11,6 +11,7 @@
 #include "app/admin_server.hpp"
 #include "app/metrics.hpp"
 #include "app/settings.hpp"
+#include "app/tick_timer.hpp"
 #include "app/timeline.hpp"
 #include "core/node.hpp"
 #include "net/connection_check.hpp"
@@ -147,7 +148,7 @@
     // Null unless the VM runs on the users' platform.
     std::unique_ptr<platform::platform_link> link_;
     engine_client engines_;
-    QTimer tick_timer_;
+    tick_timer tick_timer_;
     QTimer platform_timer_;
     std::size_t next_polled_upstream_ = 0;
     std::optional<time_point> drain_until_; // set once draining
