Whole answers have a time-out that their bytes do not put off

One that comes a byte at a time was awaited without end, and the reading of that stream of records with it.

Change: http_timeouts::whole, which http_requester sets to 3 s beyond the head's time-out. Attempts have none; their request has a deadline.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -89,7 +89,8 @@
     std::unique_ptr<response_parser> parser;
     http_timeouts timeouts;
     phase state = phase::connecting;
-    std::optional<steady_time> deadline; // of `state`
+    std::optional<steady_time> deadline;     // of `state`
+    std::optional<steady_time> end_deadline; // of the whole answer
     bool head_request = false;
     bool taken = false; // the kernel has taken a byte of the request
     bool paused = false;
@@ -272,6 +273,7 @@
     {
         row.state = phase::head;
         row.deadline = after(now, row.timeouts.head);
+        row.end_deadline = after(now, row.timeouts.whole);
         row.socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
         row.taken = write_at_once(*row.socket, row.wire) > 0;
         row.wire.clear();
@@ -645,7 +647,7 @@
         std::vector<exchange_id> due;
         for (auto const& [exchange, row] : rows_)
         {
-            if (row.deadline && now >= *row.deadline && !row.paused)
+            if (late_reason(row, now))
             {
                 due.push_back(exchange);
             }
@@ -658,11 +660,29 @@
 
     void expire(exchange_id exchange, steady_time now)
     {
-        exchange_row const* const row = active(exchange);
-        if (row != nullptr && row->deadline && now >= *row->deadline)
+        auto const found = rows_.find(exchange);
+        auto const reason = found == rows_.end()
+                                ? std::nullopt
+                                : late_reason(found->second, now);
+        if (reason)
+        {
+            fail(exchange, *reason);
+        }
+    }
+
+    // Why an exchange is to be given up at `now`, if it is.
+    static std::optional<std::string_view> late_reason(exchange_row const& row,
+                                                       steady_time now)
+    {
+        if (row.end_deadline && now >= *row.end_deadline)
         {
-            fail(exchange, timeout_reason(row->state));
+            return "answer_timeout";
         }
+        if (row.deadline && now >= *row.deadline && !row.paused)
+        {
+            return timeout_reason(row.state);
+        }
+        return std::nullopt;
     }
 
     static void discard(QTcpSocket* socket)
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -53,6 +53,9 @@
     duration head = std::chrono::seconds(60);
     // Between pieces of the answer's body, while not paused.
     duration piece = std::chrono::seconds(30);
+    // From the request's first byte to the answer's end, whatever comes
+    // between.
+    duration whole = duration::zero();
 };
 
 struct http_client_handlers
@@ -61,7 +64,8 @@
     std::function<void(exchange_id, std::string bytes)> piece;
     std::function<void(exchange_id)> end;
     // Reasons: bad_address, connect_failed, connect_timeout, head_timeout,
-    // piece_timeout, connection_lost, answer_cut, malformed_answer.
+    // piece_timeout, answer_timeout, connection_lost, answer_cut,
+    // malformed_answer.
     std::function<void(exchange_id, verdict run, std::string reason)> failed;
 };
 
--- a/src/net/http_client_test.cpp
+++ b/src/net/http_client_test.cpp
@@ -505,6 +505,22 @@
     BOOST_TEST(f.outcomes[1].body == "ab");
 }
 
+// Guards against an answer that is awaited without end because a byte of it
+// comes now and then.
+BOOST_AUTO_TEST_CASE(of_a_whole_answer_are_not_put_off_by_its_bytes)
+{
+    fixture f;
+    f.post(1, 1, {.piece = 4 * soon, .whole = 12 * soon});
+    f.connection(0).send("HTTP/1.1 200 OK\r\nContent-Length: 9999\r\n\r\n");
+    QTimer drip;
+    QObject::connect(&drip, &QTimer::timeout, &drip,
+                     [&] { f.connection(0).send("x"); });
+    drip.start(std::chrono::duration_cast<std::chrono::milliseconds>(soon));
+    BOOST_TEST((f.wait(1).run == verdict::may_have_run));
+    BOOST_TEST(f.outcomes[1].reason == "answer_timeout");
+    BOOST_TEST(!f.outcomes[1].body.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(back_pressure)
--- a/src/net/http_request.cpp
+++ b/src/net/http_request.cpp
@@ -14,6 +14,9 @@
 {
 
 constexpr std::chrono::hours retry_after_max{24};
+// From an answer's head to its end. 1 MB, the largest page of the store, takes
+// 0.8 s on a link of 10 Mbit/s.
+constexpr std::chrono::seconds body_timeout{3};
 
 struct pending_row
 {
@@ -63,7 +66,9 @@
     {
         exchange_id const exchange = next_++;
         pending_[exchange].done = std::move(done);
-        client_.send(exchange, address, request, timeouts);
+        http_timeouts all = timeouts;
+        all.whole = timeouts.head + body_timeout;
+        client_.send(exchange, address, request, all);
     }
 
 private:
--- a/src/net/http_request.hpp
+++ b/src/net/http_request.hpp
@@ -1,7 +1,9 @@
 // One request, one whole answer: a convenience over http_client for the
 // platform's and the engines' small JSON calls.
 //
-// Never repeats a request. Answers above `answer_bytes` fail.
+// Never repeats a request. Answers above `answer_bytes` fail, and those that
+// are not whole some seconds after the time-out of their head, though bytes of
+// them still come.
 #ifndef AMARANTHARCH_NET_HTTP_REQUEST_HPP
 #define AMARANTHARCH_NET_HTTP_REQUEST_HPP
 
@@ -36,7 +38,8 @@
     // Requests in progress are dropped without their callback.
     ~http_requester();
 
-    // `done` is called exactly once, from the event loop.
+    // `done` is called exactly once, from the event loop. Sets
+    // `timeouts.whole`.
     void send(std::string const& address, call const& request,
               http_timeouts const& timeouts, callback done);
 
