Odd entries of another writer hide no upstream and stop no reading

Seen here: a record of the servers' topic without a readable key kept a VM from all records behind it; an entry with a start in the future or a far too high sequence hid what the upstream wrote later, its leaving too; slots over 32 bits were cut to another number; an address with a port out of range became an upstream. No entry ended a process (100,000 levels of nesting, numbers beyond 64 bits, bytes that are no text).

Cause: members were checked for their type, not their range, and a fault of one record counted as one of the whole answer.

Loads are added as real numbers, since a faulty upstream's could overflow 32 bits.

--- a/src/core/keyed_follower.hpp
+++ b/src/core/keyed_follower.hpp
@@ -96,6 +96,8 @@
     std::uint64_t end = 0; // of the stream
     bool more = false;     // of a listing: there is another page
     std::uint64_t era = 0; // of the log; 0: not told
+    // Records whose key cannot be read; they stand in `records` without one.
+    std::size_t unreadable = 0;
 };
 
 struct keyed_change
--- a/src/core/routing.cpp
+++ b/src/core/routing.cpp
@@ -268,7 +268,8 @@
     }
     int const since =
         upstream < sent_.size() ? sent_[upstream].in_flight_since_report : 0;
-    double const reported = row.report->running + row.report->waiting;
+    double const reported =
+        static_cast<double>(row.report->running) + row.report->waiting;
     return std::max(own, reported + since * fleet_factor());
 }
 
@@ -310,7 +311,9 @@
     {
         upstream_row const& row = table.row(c.upstream);
         own += row.in_flight;
-        all += row.report ? row.report->running + row.report->waiting : 0;
+        all += row.report ? static_cast<double>(row.report->running) +
+                                row.report->waiting
+                          : 0;
     }
     if (own > 0)
     {
--- a/src/net/json.cpp
+++ b/src/net/json.cpp
@@ -46,6 +46,15 @@
     return object.value(QLatin1String(key)).toBool();
 }
 
+bool json_is_count(QJsonObject const& object, char const* key,
+                   std::int64_t most)
+{
+    constexpr std::int64_t none = -1;
+    QJsonValue const value = object.value(QLatin1String(key));
+    std::int64_t const number = value.isDouble() ? value.toInteger(none) : none;
+    return number >= 0 && number <= most;
+}
+
 std::vector<QJsonObject> json_objects(QJsonObject const& object,
                                       char const* key)
 {
--- a/src/net/json.hpp
+++ b/src/net/json.hpp
@@ -11,6 +11,7 @@
 #include <absl/status/statusor.h>
 
 #include <cstdint>
+#include <limits>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -28,6 +29,11 @@
 double json_number(QJsonObject const& object, char const* key);
 bool json_flag(QJsonObject const& object, char const* key);
 
+// True if `key` is a whole number from 0 to `most`.
+bool json_is_count(
+    QJsonObject const& object, char const* key,
+    std::int64_t most = std::numeric_limits<std::int64_t>::max());
+
 // The objects among the elements of the array called `key`.
 std::vector<QJsonObject> json_objects(QJsonObject const& object,
                                       char const* key);
