A stream is gone on with by its own kind of answer only

Cause: an answer with another status than 200 put the relay of events aside, because an error's body is passed on unchanged; that holds for a request's first answer only. 5xx were refused before; 3xx, 4xx, other 2xx and a 200 of another content type were not. Ruled out: a whole head inside a stream (heads are written at an answer's beginning only).

Change: an answer that is to go on with a stream has to be a 200 of the stream's media type; any other is a failed attempt.

Evidence: a_resumed_stream_takes_nothing_but_its_events and a_stream_that_no_upstream_resumes_does_not_look_complete failed before.

--- a/src/core/request_attempts.cpp
+++ b/src/core/request_attempts.cpp
@@ -3,6 +3,7 @@
 #include "core/call_fields.hpp"
 #include "core/request_path.hpp"
 
+#include <absl/strings/ascii.h>
 #include <fmt/format.h>
 
 #include <utility>
@@ -39,6 +40,26 @@
     return unconnected ? retry_cause::not_connected : retry_cause::failed;
 }
 
+// "text/html" of "Text/HTML; charset=utf-8".
+std::string media_type(std::string_view content_type)
+{
+    std::string type(content_type.substr(0, content_type.find(';')));
+    absl::StripAsciiWhitespace(&type);
+    absl::AsciiStrToLower(&type);
+    return type;
+}
+
+// Whether an answer goes on with a stream of type `begun`. The caller has the
+// head of the first answer, so that the body of any other one, such as an
+// error's, would look like a part of the stream.
+bool continues_stream(std::string_view begun, int status,
+                      header_list const& headers)
+{
+    return status == http_ok &&
+           media_type(header_value(headers, "Content-Type")) ==
+               media_type(begun);
+}
+
 } // namespace
 
 request_features request_path::features_of(row const& r) const
@@ -397,8 +418,12 @@
     // forwarded.
     bool const overstates_verdict =
         options_.api_dialect->promises_not_run(what.status);
+    bool const breaks_stream =
+        r->answer_begun &&
+        !continues_stream(r->outcome.content_type, what.status, what.headers);
     if (not_run || metadata.answers_other_request || !metadata.genuine ||
-        overstates_verdict || (is_server_error && r->route.idempotent))
+        overstates_verdict || (is_server_error && r->route.idempotent) ||
+        breaks_stream)
     {
         reject_answer(now, *r, what, metadata);
         return;
