A refusal is believed by the request that it names only

A copy with another request's id was a foreign answer already. One without an id was believed: a running claim was sent to a second upstream.

Cause: read_answer compared ids only where the answer had one.

--- a/src/core/dialect.hpp
+++ b/src/core/dialect.hpp
@@ -67,7 +67,8 @@
     // It would say so if the upstream had a request limit now. False for an
     // answer that may not be the upstream's own, or may be damaged.
     bool tells_of_limits = false;
-    // The upstream's own statement whether it ran the request.
+    // The upstream's own statement whether it ran the request; none where it
+    // may be about another one.
     std::optional<verdict> stated_verdict;
     bool answers_other_request =
         false; // it is the answer to a different request
