Bodies count with the memory that they take

Cause: the budgets counted sizes. A body that is read grows by doubling and holds up to twice its size; one in progress is kept for a repeat while its copy waits to be written; attempts of other VMs had a reading budget as large again and none for what waits to be written.

Change: http_server charges what the string holds; a request in progress counts twice (memory_of_body); attempts of other VMs have half of each budget, and are declined as relay_full beyond it.

--- a/src/app/server.cpp
+++ b/src/app/server.cpp
@@ -95,6 +95,7 @@
 {
     http_server_limits limits = caller_limits(options);
     limits.header_bytes += relay_header_bytes;
+    limits.body_memory_bytes /= 2;
     return limits;
 }
 
--- a/src/core/attempt_relay.cpp
+++ b/src/core/attempt_relay.cpp
@@ -44,7 +44,8 @@
     {
         return declined(failure_place::relay, "relay_stopping");
     }
-    if (attempts_.size() >= options_.max_attempts)
+    if (attempts_.size() >= options_.max_attempts ||
+        body_bytes_ + what.request.body.size() > options_.max_body_bytes)
     {
         return declined(failure_place::relay, "relay_full");
     }
@@ -81,8 +82,10 @@
     upstream_profile const& profile =
         requests.upstreams().row(upstream).profile;
     attempt_id const attempt = next_attempt_++;
-    attempts_[attempt] = {what.relay, upstream, what.target.incarnation, now,
-                          false};
+    std::size_t const body_bytes = what.request.body.size();
+    attempts_[attempt] = {what.relay, upstream,   what.target.incarnation,
+                          now,        body_bytes, false};
+    body_bytes_ += body_bytes;
     relays_[what.relay] = attempt;
     emit_(record_timeline{"attempt_relayed", what.request.id,
                           fmt::format("attempt={} upstream={} from={}", attempt,
@@ -170,8 +173,9 @@
 
 void attempt_relay::forget(attempt_id attempt)
 {
-    relays_.erase(attempts_.at(attempt).relay);
-    attempts_.erase(attempt);
+    auto const ended = attempts_.extract(attempt);
+    relays_.erase(ended.mapped().relay);
+    body_bytes_ -= ended.mapped().body_bytes;
 }
 
 } // namespace amarantharch
--- a/src/core/attempt_relay.hpp
+++ b/src/core/attempt_relay.hpp
@@ -31,6 +31,7 @@
 {
     // Further attempts are declined.
     std::size_t max_attempts = 4'096;
+    std::size_t max_body_bytes = std::size_t{32} << 20; // of all attempts
 };
 
 class attempt_relay
@@ -81,6 +82,7 @@
         upstream_index upstream = 0;
         std::uint64_t incarnation = 0;
         time_point started;
+        std::size_t body_bytes = 0; // their copy may still be on its way
         bool answer_begun = false;
     };
 
@@ -98,6 +100,7 @@
     std::map<attempt_id, record> attempts_;
     // relays_[r] == a if and only if attempts_[a].relay == r.
     std::map<relay_id, attempt_id> relays_;
+    std::size_t body_bytes_ = 0; // of all attempts
 };
 
 } // namespace amarantharch
--- a/src/core/attempt_relay_test.cpp
+++ b/src/core/attempt_relay_test.cpp
@@ -32,7 +32,8 @@
 
 struct relaying_vm
 {
-    relaying_vm() : subject(options(), [this](command const& c) { take(c); })
+    explicit relaying_vm(std::size_t request_bytes = std::size_t{1} << 20)
+        : subject(options(request_bytes), [this](command const& c) { take(c); })
     {
         subject.handle(now, members_listed{{{"vm-2", other_vm + ":1", "x"}}});
         for (char const* const name : {"u1", "u2", "u3"})
@@ -41,9 +42,10 @@
         }
     }
 
-    static node_options options()
+    static node_options options(std::size_t request_bytes)
     {
         node_options result;
+        result.requests.max_request_bytes = request_bytes;
         result.control.vm = "vm-1";
         result.control.address = "10.0.0.1:1";
         result.control.incarnation = 1;
@@ -103,6 +105,19 @@
 
 BOOST_AUTO_TEST_SUITE(a_vm_that_runs_attempts_for_others)
 
+BOOST_AUTO_TEST_CASE(declines_bodies_over_half_of_the_memory_of_its_own)
+{
+    relaying_vm vm(20);
+    vm.request({"u1", incarnation});
+    vm.request({"u2", incarnation});
+    BOOST_TEST(vm.declined().empty());
+    vm.request({"u3", incarnation}); // of four bytes each
+    BOOST_TEST(vm.declined() == "relay_full");
+    vm.subject.handle(vm.now, relay_abandoned{1});
+    vm.request({"u3", incarnation});
+    BOOST_TEST(vm.declined().empty());
+}
+
 BOOST_AUTO_TEST_CASE(sends_the_request_on_unchanged_and_passes_the_answer_back)
 {
     relaying_vm vm;
--- a/src/core/call_fields.hpp
+++ b/src/core/call_fields.hpp
@@ -26,6 +26,13 @@
 // Estimates the number of tokens from the size in bytes.
 std::uint32_t estimate_tokens(std::string const& body);
 
+// What a request's body holds while the request is in progress: it is kept for
+// a repeat while its copy may wait to be written to an upstream.
+inline std::size_t memory_of_body(call const& request)
+{
+    return 2 * request.body.size();
+}
+
 // The method and target, separated by a space.
 std::string route_text(call const& request);
 
--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -6,13 +6,26 @@
 namespace amarantharch
 {
 
+namespace
+{
+
+// Attempts of other VMs may hold half as much as this VM's own requests.
+attempt_relay_options relay_options(request_path_options const& own)
+{
+    attempt_relay_options options;
+    options.max_body_bytes = own.max_request_bytes / 2;
+    return options;
+}
+
+} // namespace
+
 node::node(node_options options, command_sink const& emit)
     : options_(std::move(options)),
       control_(options_.control, emit, control_handlers()),
       requests_(options_.requests, emit,
                 [this](std::string payload)
                 { append_request_record(std::move(payload)); }),
-      relayed_({}, emit),
+      relayed_(relay_options(options_.requests), emit),
       exchange_({options_.control.vm, options_.control.failure_domain,
                  options_.control.incarnation, options_.usage_interval,
                  !options_.control.uses_log, options_.duties.enabled},
--- a/src/core/request_endings.cpp
+++ b/src/core/request_endings.cpp
@@ -100,7 +100,7 @@
     {
         quotas_.refund(r.organisation, r.quota_units);
     }
-    body_bytes_ -= r.request.body.size();
+    body_bytes_ -= memory_of_body(r.request);
     rows_.erase(request_id(r.request.id));
 }
 
--- a/src/core/request_path.cpp
+++ b/src/core/request_path.cpp
@@ -251,7 +251,7 @@
     }
     bool const full =
         rows_.size() >= options_.max_requests ||
-        body_bytes_ + request.body.size() > options_.max_request_bytes;
+        body_bytes_ + memory_of_body(request) > options_.max_request_bytes;
     if (full)
     {
         return refusal{503, verdict::not_run, "vm_full", overload_retry_after};
@@ -311,7 +311,7 @@
     r.request_fingerprint =
         fingerprint_of(route->service, *organisation, request.method,
                        request.target, request.body);
-    body_bytes_ += request.body.size();
+    body_bytes_ += memory_of_body(request);
     if (route->event_stream)
     {
         r.sse_relay.emplace(request.metadata.resume_after);
@@ -571,7 +571,7 @@
         return;
     }
     row& r = rows_[request.id];
-    body_bytes_ += request.body.size();
+    body_bytes_ += memory_of_body(request);
     r.request_fingerprint =
         fingerprint_of(route->service, what.call.organisation, request.method,
                        request.target, request.body);
--- a/src/core/request_path.hpp
+++ b/src/core/request_path.hpp
@@ -67,7 +67,8 @@
     std::uint64_t incarnation = 0;
     std::uint64_t seed = 1;
     std::size_t max_requests = 20'000;
-    std::size_t max_request_bytes = std::size_t{64} << 20; // of all bodies
+    // Of all bodies, each with its copy on the way to an upstream.
+    std::size_t max_request_bytes = std::size_t{64} << 20;
     admission_options admission;
     routing_options routing;
     retry_budget_options retries;
@@ -507,7 +508,7 @@
     ledger ledger_;
     attempt_id next_attempt_ = 1;
     std::uint64_t next_detached_ = 1;
-    std::size_t body_bytes_ = 0; // total size of the bodies in rows_
+    std::size_t body_bytes_ = 0; // memory_of_body over rows_
     std::map<request_id, row> rows_;
     // attempts_[a] == r if and only if rows_[r].attempt == a != 0.
     std::map<attempt_id, request_id> attempts_;
--- a/src/net/http_parser.hpp
+++ b/src/net/http_parser.hpp
@@ -10,11 +10,13 @@
 #include "core/call.hpp"
 
 #include <boost/asio/buffer.hpp>
+#include <boost/beast/core/buffer_traits.hpp>
 #include <boost/beast/core/buffers_range.hpp>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/parser.hpp>
 
 #include <algorithm>
+#include <bit>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -24,8 +26,9 @@
 
 namespace http = boost::beast::http;
 
-// A body that takes memory as its bytes arrive. http::string_body reserves the
-// announced length, which a faulty sender may set to any number.
+// A body that takes memory as its bytes arrive: its size, rounded up to a power
+// of two. http::string_body reserves the announced length, which a faulty
+// sender may set to any number.
 struct arriving_body
 {
     using value_type = std::string;
@@ -49,6 +52,12 @@
         std::size_t put(Buffers const& buffers, boost::beast::error_code& error)
         {
             error = {};
+            std::size_t const size =
+                body_.size() + boost::beast::buffer_bytes(buffers);
+            if (size > body_.capacity())
+            {
+                body_.reserve(std::bit_ceil(size));
+            }
             std::size_t taken = 0;
             for (auto const buffer : boost::beast::buffers_range_ref(buffers))
             {
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -415,9 +415,9 @@
     // False if the bodies being read exceed their budget.
     bool charge_body(connection& row)
     {
-        std::uint64_t const size = row.parser->get().body().size();
-        body_memory_ += size - row.body_charge;
-        row.body_charge = size;
+        std::uint64_t const held = row.parser->get().body().capacity();
+        body_memory_ += held - row.body_charge;
+        row.body_charge = held;
         return body_memory_ <= limits_.body_memory_bytes;
     }
 
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -51,7 +51,7 @@
     // Of a head, of the line that gives a chunk's size, and of a trailer.
     std::uint32_t header_bytes = 16 * 1024;
     std::uint64_t body_bytes = std::uint64_t{8} << 20;
-    // All bodies that are being read, together.
+    // What all bodies that are being read hold, up to twice their sizes.
     std::uint64_t body_memory_bytes = std::uint64_t{256} << 20;
     std::size_t connections = 4096;
     std::size_t connections_per_address = 4096;
--- a/src/net/http_server_test.cpp
+++ b/src/net/http_server_test.cpp
@@ -463,6 +463,21 @@
     }
 }
 
+// Guards against bodies that take more memory than their budget: a body that
+// grows as it comes holds up to twice its size.
+BOOST_AUTO_TEST_CASE(a_body_counts_with_the_memory_that_it_takes)
+{
+    constexpr std::size_t megabyte = std::size_t{1} << 20;
+    fixture f({.body_memory_bytes = megabyte * 3 / 2});
+    peer_socket caller(f.server.port());
+    std::string const body(megabyte * 5 / 4, 'x');
+    caller.send(post + fmt::format("Content-Length: {}\r\n\r\n", body.size()) +
+                body);
+    BOOST_REQUIRE(run_until([&] { return caller.got("}\n"); }));
+    BOOST_TEST(caller.got("\"reason\":\"body_memory_exhausted\""));
+    BOOST_TEST(f.requests.empty());
+}
+
 BOOST_AUTO_TEST_CASE(the_callers_id_is_in_the_refusal)
 {
     fixture f;
