--- a/src/net/test_support.hpp
+++ b/src/net/test_support.hpp
@@ -24,6 +24,17 @@
 namespace amarantharch::test
 {
 
+// The application that Qt's sockets need, for a test program without one of its
+// own.
+inline QCoreApplication& application()
+{
+    static int count = 1;
+    static char name[] = "tests";
+    static char* names[] = {name, nullptr};
+    static QCoreApplication instance(count, names);
+    return instance;
+}
+
 // Far above what any condition takes; only a failing test reaches it.
 constexpr qint64 give_up_ms = 10'000;
 
