--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -15,8 +15,15 @@
 done
 cmake --preset release > /dev/null
 cmake --build --preset release --target amarantharch amarantharch-soak
-[ $# -gt 0 ] || set -- $(./build/amarantharch-soak --help |
-    sed -n 's/^faults://p' | sed 's/ \([a-z_]*\)/ --fault \1/g')
+# All kinds of fault, unless the options name some.
+case " $* " in
+*" --fault "*) ;;
+*)
+    for fault in $(./build/amarantharch-soak --help | sed -n 's/^faults://p'); do
+        set -- "$@" --fault "$fault"
+    done
+    ;;
+esac
 status=0
 for seed in $(seq "$first" "$last"); do
     logs=build/soak/seed-$seed
