Server: an answer that ends by closing is reset until its last byte left

Callers of HTTP/1.0 saw a 200 with a short body, or none, as a whole answer when the VM was killed, or ended, in the middle of it.

Cause: such an answer has neither length nor chunks, so an orderly close is its end; and the kernel closes in order for a process that ends. Only answer_abort and the time-outs asked for a reset, at the moment of the cut; a process that is killed, and ~http_server, ask for nothing.

The fix sets the socket, from such an answer's head on, to be reset by any close, and sets it back once the kernel has taken the last byte: what decides is the socket's state, so no way of ending can forget it. Answers with a length or chunks are as before, since they tell by themselves.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -168,13 +168,23 @@
                       sweep_interval_max);
 }
 
-// Makes the close that follows a reset, which no caller takes for the end of
-// an answer.
-void reset_on_close(QTcpSocket& socket)
+void set_linger(QTcpSocket& socket, linger const& how)
 {
-    linger const at_once{1, 0};
     ::setsockopt(static_cast<int>(socket.socketDescriptor()), SOL_SOCKET,
-                 SO_LINGER, &at_once, sizeof at_once);
+                 SO_LINGER, &how, sizeof how);
+}
+
+// Makes each close that follows a reset, which no caller takes for the end of
+// an answer; also the kernel's, when this process ends.
+void reset_on_close(QTcpSocket& socket)
+{
+    set_linger(socket, {1, 0});
+}
+
+// Makes each close that follows an orderly one again.
+void end_on_close(QTcpSocket& socket)
+{
+    set_linger(socket, {0, 0});
 }
 
 } // namespace
@@ -513,6 +523,7 @@
         if (row.version_1_0 && !row.bodiless)
         {
             row.keep_alive = false; // the close ends the body
+            reset_on_close(*row.socket);
         }
         bool const framed = row.chunked && !has_no_body(status);
         write(row, fmt::format("{}{}{}{}\r\n", status_line(status),
@@ -707,6 +718,7 @@
         if (!row.shut && row.socket->bytesToWrite() == 0)
         {
             row.shut = true;
+            end_on_close(*row.socket);
             ::shutdown(static_cast<int>(row.socket->socketDescriptor()),
                        SHUT_WR);
         }
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -23,6 +23,12 @@
 //
 // A caller that closes its sending side counts as having left.
 //
+// A body that ends with its connection (towards HTTP/1.0) is whole for its
+// caller once that closes in order, whoever closes it: the kernel does for a
+// process that is killed. So from such an answer's head on, the socket is set
+// to be reset by any close, and set back once the kernel has taken the last
+// byte. Answers with a length or chunks need none of it.
+//
 // Cost: O(bytes) for each message; a sweep over all connections a few times a
 // second for the timeouts. Memory a connection: header_bytes, one socket
 // buffer of unread input, and its outgoing bytes, besides the shared bodies.
--- a/src/net/test_support.hpp
+++ b/src/net/test_support.hpp
@@ -14,10 +14,14 @@
 
 #include <fmt/format.h>
 
+#include <netinet/in.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
+#include <cerrno>
 #include <cstdint>
 #include <memory>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -184,6 +188,78 @@
     QTcpServer server_;
 };
 
+// How a caller's connection stands.
+enum class seen : std::uint8_t
+{
+    open,
+    closed, // in order
+    reset,
+};
+
+// A caller whose socket tells a reset from a close, which Qt reports alike.
+class plain_caller
+{
+public:
+    plain_caller(std::uint16_t port, std::string const& request)
+        : socket_(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        address.sin_port = htons(port);
+        bool const sent =
+            ::connect(socket_, reinterpret_cast<sockaddr*>(&address),
+                      sizeof address) == 0 &&
+            ::send(socket_, request.data(), request.size(), MSG_NOSIGNAL) ==
+                static_cast<ssize_t>(request.size());
+        if (!sent)
+        {
+            throw std::runtime_error("the request could not be sent");
+        }
+    }
+
+    ~plain_caller()
+    {
+        ::close(socket_);
+    }
+
+    plain_caller(plain_caller const&) = delete;
+    plain_caller& operator=(plain_caller const&) = delete;
+
+    // Takes what has come, and tells how the connection stands. The socket
+    // tells of a reset once only.
+    seen look()
+    {
+        char bytes[65'536];
+        while (state_ == seen::open)
+        {
+            ssize_t const got =
+                ::recv(socket_, bytes, sizeof bytes, MSG_DONTWAIT);
+            if (got > 0)
+            {
+                received.append(bytes, static_cast<std::size_t>(got));
+                continue;
+            }
+            if (got == 0)
+            {
+                state_ = seen::closed;
+            }
+            else if (errno != EAGAIN)
+            {
+                state_ = seen::reset;
+            }
+            break;
+        }
+        return state_;
+    }
+
+    std::string received;
+
+private:
+    int socket_;
+    seen state_ = seen::open;
+};
+
 } // namespace amarantharch::test
 
 #endif
