Requests: nothing of an answer that failed is given but its head

A model server that stopped behind the object of its report of load, before the last chunk, had that cut answer counted as a report. Callers saw nothing of it that we know of.

Cause: http_requester gave what had arrived of a failed answer as its body, with status 0; the reader of load looks at the body alone. Its class: a failed answer that looks like a whole one to who reads one field of it. The body is now empty unless all of it came; the head's fields stay, since a head is reported only when whole, and a notice in it is true.

Seen before, on the untouched requester: platform_tests an_answer_of_the_platform_cut_at_any_byte/is_never_taken_for_a_success, 7 failed checks (load), and net_tests a_reader_of_cut_answers/is_given_nothing_of_an_answer_that_failed, 2.

Ruled out by the same tables, which cut at each byte: the clients of engines, log, platform, store and cloud take no cut answer for a success, an empty 200 tells nothing but to those whose status says all; the reader of upstreams' answers takes no cut head (17 forms, closed and reset, fresh and kept connections).

--- a/src/net/http_request.cpp
+++ b/src/net/http_request.cpp
@@ -55,7 +55,9 @@
                    [this](exchange_id e) { finish(e, verdict::ran, ""); },
                    [this](exchange_id e, verdict run, std::string const& reason)
                    {
-                       pending_.at(e).answer.status = 0;
+                       http_answer& answer = pending_.at(e).answer;
+                       answer.status = 0;
+                       answer.body.clear();
                        finish(e, run, reason);
                    }})
     {
--- a/src/net/http_request.hpp
+++ b/src/net/http_request.hpp
@@ -19,9 +19,9 @@
 
 struct http_answer
 {
-    int status = 0; // 0: no whole answer; see `run` and `reason`
-    header_list headers;
-    std::string body;
+    int status = 0;      // 0: no whole answer; see `run` and `reason`
+    header_list headers; // of the head, if that came whole
+    std::string body;    // empty unless all of it came
     verdict run = verdict::not_run;
     std::string reason;
 };
