Callers are accepted again after the descriptors were used up

Cause: QTcpServer stops accepting for good when accept fails with EMFILE (or ENFILE, ENOBUFS); nothing resumed it. And stop_accepting, which accepts what waits before the listener is closed, never ended while accept failed: the kernel keeps reporting the connection that it can't give, and SIGTERM was followed by a process at 100 % of its core.

Ruled out: a temporary lack. In the test the limit is lifted again, callers are gone or waiting, and the untouched server still accepts none in 5 s.

The same cause elsewhere: the listener for peers, which uses the same function (without a test of its own).

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -1,5 +1,6 @@
 #include "net/http_server.hpp"
 
+#include "net/accepting.hpp"
 #include "net/http_parser.hpp"
 #include "net/socket_write.hpp"
 
@@ -187,6 +188,9 @@
     {
         QObject::connect(&server_, &QTcpServer::newConnection, &server_,
                          [this] { accept(); });
+        QObject::connect(&server_, &QTcpServer::acceptError, &server_,
+                         [this] { accept_failed_ = true; });
+        accept_again_after_errors(server_);
         QObject::connect(&sweep_timer_, &QTimer::timeout, &server_,
                          [this] { sweep(steady_clock::now()); });
         sweep_timer_.setInterval(std::chrono::ceil<std::chrono::milliseconds>(
@@ -712,9 +716,13 @@
         }
     }
 
+    // Accepts what waits, as far as there is room: the kernel reports a
+    // connection that it can't give again and again.
     void stop_accepting()
     {
-        while (server_.isListening() && server_.waitForNewConnection(0))
+        accept_failed_ = false;
+        while (server_.isListening() && !accept_failed_ &&
+               server_.waitForNewConnection(0))
         {
             accept();
         }
@@ -793,6 +801,7 @@
     http_server_limits limits_;
     http_server_handlers handlers_;
     bool draining_ = false;
+    bool accept_failed_ = false; // since stop_accepting began
     exchange_id next_exchange_ = 1;
     std::unordered_map<QTcpSocket*, connection> connections_;
     // exchanges_[e] == &c if and only if c.exchange == e != 0; rows of
--- a/src/net/http_server_test.cpp
+++ b/src/net/http_server_test.cpp
@@ -6,7 +6,13 @@
 
 #include <fmt/format.h>
 
+#include <fcntl.h>
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include <array>
 #include <map>
+#include <memory>
 #include <optional>
 
 namespace amarantharch
@@ -692,6 +698,97 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(when_a_burst_of_callers_uses_up_the_descriptors)
+
+// Leaves the process `more` free descriptors.
+class descriptor_shortage
+{
+public:
+    explicit descriptor_shortage(rlim_t more)
+    {
+        ::getrlimit(RLIMIT_NOFILE, &before_);
+        int const lowest_free = ::fcntl(STDERR_FILENO, F_DUPFD_CLOEXEC, 0);
+        ::close(lowest_free);
+        rlimit const scarce{static_cast<rlim_t>(lowest_free) + more,
+                            before_.rlim_max};
+        ::setrlimit(RLIMIT_NOFILE, &scarce);
+    }
+
+    ~descriptor_shortage()
+    {
+        ::setrlimit(RLIMIT_NOFILE, &before_);
+    }
+
+private:
+    rlimit before_{};
+};
+
+constexpr std::size_t burst = 6;
+constexpr rlim_t room = 2;
+
+// Callers that the kernel has connected and the server has not accepted.
+struct burst_fixture : fixture
+{
+    burst_fixture()
+    {
+        for (auto& caller : callers)
+        {
+            caller = std::make_unique<peer_socket>(server.port());
+            BOOST_REQUIRE(caller->socket().waitForConnected(5000));
+        }
+    }
+
+    std::array<std::unique_ptr<peer_socket>, burst> callers;
+};
+
+BOOST_FIXTURE_TEST_CASE(accepts_the_waiting_callers_once_there_is_room,
+                        burst_fixture)
+{
+    {
+        descriptor_shortage const shortage(room);
+        BOOST_REQUIRE(run_until([&] { return server.connections() > 0; }));
+        run_pending();
+        BOOST_TEST(server.connections() == room);
+    }
+    BOOST_TEST(run_until([&] { return server.connections() == burst; }));
+}
+
+BOOST_FIXTURE_TEST_CASE(serves_new_callers_after_the_burst_is_gone,
+                        burst_fixture)
+{
+    {
+        descriptor_shortage const shortage(room);
+        BOOST_REQUIRE(run_until([&] { return server.connections() > 0; }));
+        run_pending();
+        for (auto& caller : callers)
+        {
+            caller.reset();
+        }
+        BOOST_REQUIRE(run_until([&] { return server.connections() == 0; }));
+    }
+    peer_socket caller(server.port());
+    caller.send(get_a);
+    BOOST_TEST(wait_for_requests(1));
+}
+
+BOOST_FIXTURE_TEST_CASE(does_not_accept_again_once_it_has_stopped,
+                        burst_fixture)
+{
+    {
+        descriptor_shortage const shortage(room);
+        BOOST_REQUIRE(run_until([&] { return server.connections() > 0; }));
+        run_pending();
+        server.stop_accepting();
+    }
+    std::size_t const accepted = server.connections();
+    QElapsedTimer timer;
+    timer.start();
+    BOOST_TEST(run_until([&] { return timer.elapsed() > 500; }));
+    BOOST_TEST(server.connections() == accepted);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace amarantharch
--- a/src/net/peer_transport.cpp
+++ b/src/net/peer_transport.cpp
@@ -1,5 +1,6 @@
 #include "net/peer_transport.hpp"
 
+#include "net/accepting.hpp"
 #include "net/endpoint.hpp"
 #include "net/message_session.hpp"
 #include "net/peer_envelope.hpp"
@@ -818,6 +819,7 @@
     {
         return loaded;
     }
+    accept_again_after_errors(impl_->server_);
     impl_->server_.setListenBacklogSize(listen_backlog);
     if (!impl_->server_.listen(address, port))
     {
