Signals: held from before the libraries' constructors to the end

Cause: the handlers stood from signal_watcher::watch to its destructor only. hold() now sets them before the constructors of the libraries and notes what comes; watch() delivers it; after the watcher they stay. Ruled out: the settings and ports as such, which only lengthen the span.

The process fixture wrote its files beside its folder, not into it: filePath("") has no slash at its end. Its send() is for the signals of later tests.

--- a/src/app/process_fixture_test.hpp
+++ b/src/app/process_fixture_test.hpp
@@ -120,20 +120,25 @@
         (void)process_.waitForFinished();
     }
 
-    // Stops the process where it stands, until thaw().
+    void send(int signal)
+    {
+        (void)::kill(static_cast<pid_t>(process_.processId()), signal);
+    }
+
     // The settings have changed.
     void reload()
     {
-        (void)::kill(static_cast<pid_t>(process_.processId()), SIGHUP);
+        send(SIGHUP);
     }
 
+    // Stops the process where it stands, until thaw().
     void freeze()
     {
-        (void)::kill(static_cast<pid_t>(process_.processId()), SIGSTOP);
+        send(SIGSTOP);
     }
     void thaw()
     {
-        (void)::kill(static_cast<pid_t>(process_.processId()), SIGCONT);
+        send(SIGCONT);
     }
 
     bool running() const
@@ -253,7 +258,8 @@
     // Writes `text` to a file that lasts as long as the fixture.
     std::string write_file(std::string const& name, std::string const& text)
     {
-        std::string path = directory.filePath("").toStdString() + name;
+        std::string path =
+            directory.filePath(QString::fromStdString(name)).toStdString();
         std::ofstream(path) << text;
         return path;
     }
--- a/src/app/signal_watcher.cpp
+++ b/src/app/signal_watcher.cpp
@@ -19,26 +19,39 @@
 
 // The handler's end of the socket pair; -1 while nobody watches.
 volatile sig_atomic_t notify_socket = -1;
+// By the order of watched_signals: it came while nobody watched.
+std::array<volatile sig_atomic_t, watched_signals.size()> held{};
 
-void notify(int signal)
+void notify_watcher(int signal)
 {
-    int const before = errno;
     char const byte = static_cast<char>(signal);
     (void)!write(notify_socket, &byte, sizeof byte);
+}
+
+void handle(int signal)
+{
+    int const before = errno;
+    if (notify_socket >= 0)
+    {
+        notify_watcher(signal);
+    }
+    for (std::size_t i = 0; notify_socket < 0 && i < held.size(); ++i)
+    {
+        held[i] = held[i] != 0 || watched_signals[i] == signal ? 1 : 0;
+    }
     errno = before;
 }
 
-bool handle_with(void (*handler)(int))
+void deliver_held()
 {
-    struct sigaction action = {};
-    action.sa_handler = handler;
-    action.sa_flags = SA_RESTART;
-    bool set = true;
-    for (int const signal : watched_signals)
+    for (std::size_t i = 0; i < held.size(); ++i)
     {
-        set = sigaction(signal, &action, nullptr) == 0 && set;
+        if (held[i] != 0)
+        {
+            held[i] = 0;
+            notify_watcher(watched_signals[i]);
+        }
     }
-    return set;
 }
 
 } // namespace
@@ -58,7 +71,6 @@
 
     ~impl()
     {
-        (void)handle_with(SIG_DFL);
         notify_socket = -1;
         notifier_.setEnabled(false);
         (void)close(sockets_[0]);
@@ -92,6 +104,19 @@
     QSocketNotifier notifier_;
 };
 
+bool signal_watcher::hold()
+{
+    struct sigaction action = {};
+    action.sa_handler = handle;
+    action.sa_flags = SA_RESTART;
+    bool set = std::signal(SIGPIPE, SIG_IGN) != SIG_ERR;
+    for (int const signal : watched_signals)
+    {
+        set = sigaction(signal, &action, nullptr) == 0 && set;
+    }
+    return set;
+}
+
 absl::StatusOr<std::unique_ptr<signal_watcher>>
 signal_watcher::watch(std::function<void()> stop_requested,
                       std::function<void()> reload_requested)
@@ -104,11 +129,12 @@
     }
     auto made = std::make_unique<impl>(sockets, std::move(stop_requested),
                                        std::move(reload_requested));
-    notify_socket = sockets[0];
-    if (!handle_with(notify) || std::signal(SIGPIPE, SIG_IGN) == SIG_ERR)
+    if (!hold())
     {
         return absl::InternalError("sigaction failed");
     }
+    notify_socket = sockets[0];
+    deliver_held();
     return std::unique_ptr<signal_watcher>(new signal_watcher(std::move(made)));
 }
 
