Start: goes on while a port is held or the settings are written; ends say why

Cause: conditions that pass by themselves were taken for faults of the start; and on the platform the buffered log was written by the event loop only. Ports are bound one by one and tried again, the settings are read again, both with one line, not ready meanwhile, and a SIGTERM is an orderly exit. serve flushes the log at each return; an uncaught exception and a fatal signal say why. A log that nobody reads ended the product's own mode (fmt::print throws), and does not now.

No test throws an exception.

--- a/src/app/admin_server.hpp
+++ b/src/app/admin_server.hpp
@@ -58,7 +58,8 @@
 public:
     explicit admin_server(admin_callbacks callbacks);
 
-    // Port 0 takes any free one. Fails if the address cannot be bound.
+    // Port 0 takes any free one. Fails if the address cannot be bound, and may
+    // be called again then.
     absl::Status listen(QHostAddress const& address, std::uint16_t port);
     std::uint16_t port() const;
 
--- a/src/app/commands.cpp
+++ b/src/app/commands.cpp
@@ -1,6 +1,7 @@
 // The commands that concern one VM's own process and files.
 #include "app/commands.hpp"
 
+#include "app/last_words.hpp"
 #include "app/log.hpp"
 #include "app/platform_mode.hpp"
 #include "app/server.hpp"
@@ -9,13 +10,17 @@
 #include "core/configuration.hpp"
 
 #include <QCoreApplication>
+#include <QEventLoop>
+#include <QTimer>
 
 #include <fmt/format.h>
 
 #include <unistd.h>
 
+#include <chrono>
 #include <fstream>
 #include <iterator>
+#include <memory>
 
 namespace amarantharch
 {
@@ -27,6 +32,8 @@
 
 constexpr std::string_view program_version = "0.1.0";
 constexpr std::string_view expected_word = "expected ";
+// Between two tries to read the platform's settings: writing a file takes less.
+constexpr std::chrono::milliseconds settings_interval{50};
 
 void describe_serve(options::options_description& known)
 {
@@ -135,6 +142,56 @@
          {"in_force", "from the next start"}});
 }
 
+// The platform's settings may be read while they are written: such settings
+// are tried again. A file that nothing names stays so.
+bool may_become_readable(absl::Status const& read)
+{
+    return absl::IsInvalidArgument(read) || absl::IsNotFound(read);
+}
+
+// Runs the event loop until the settings can be read, cannot become so, or
+// `stop`.
+absl::StatusOr<settings> wait_for_settings(options::variables_map const& given,
+                                           bool const& stop)
+{
+    auto read = chosen_settings(given);
+    bool const waits =
+        given.count("platform") != 0 && may_become_readable(read.status());
+    if (waits)
+    {
+        log(log_level::warning, "settings_unreadable",
+            {{"reason", std::string(read.status().message())}});
+        flush_log();
+    }
+    while (waits && !stop && !read.ok())
+    {
+        QEventLoop pause;
+        QTimer::singleShot(settings_interval, &pause, &QEventLoop::quit);
+        (void)pause.exec();
+        read = chosen_settings(given);
+    }
+    return read;
+}
+
+// Writes the held lines at each return of the command.
+struct log_end
+{
+    log_end() = default;
+    log_end(log_end const&) = delete;
+    log_end& operator=(log_end const&) = delete;
+    ~log_end()
+    {
+        flush_log();
+    }
+};
+
+int fail_start(absl::Status const& why)
+{
+    log(log_level::error, "start_failed",
+        {{"reason", std::string(why.message())}});
+    return exit_fault;
+}
+
 void stop_loop()
 {
     log(log_level::info, "stopped", {});
@@ -150,35 +207,38 @@
                            "--platform\n");
         return exit_usage;
     }
-    auto const chosen = chosen_settings(given);
-    if (!chosen.ok())
-    {
-        fmt::print(stderr, "{}\n", std::string(chosen.status().message()));
-        return exit_fault;
-    }
-    set_log_level(chosen->least_logged);
-    if (chosen->platform_process)
+    log_end const at_return;
+    speak_last_words();
+    if (given.count("platform") != 0)
     {
         buffer_log(STDOUT_FILENO);
     }
-    server subject(*chosen, stop_loop);
-    absl::Status const started = subject.start();
-    if (!started.ok())
-    {
-        log(log_level::error, "start_failed",
-            {{"reason", std::string(started.message())}});
-        return exit_fault;
-    }
+    std::unique_ptr<server> subject; // null until the settings are read
+    bool stop = false;               // before that
+    duration drain_timeout{};
     auto const watcher = signal_watcher::watch(
-        [&] { subject.drain(chosen->limits.drain_timeout); },
+        [&] { subject ? subject->drain(drain_timeout) : void(stop = true); },
         [&] { check_again(given); });
     if (!watcher.ok())
     {
-        log(log_level::error, "start_failed",
-            {{"reason", std::string(watcher.status().message())}});
+        return fail_start(watcher.status());
+    }
+    auto const chosen = wait_for_settings(given, stop);
+    if (stop)
+    {
+        log(log_level::info, "stopped", {});
+        return exit_success;
+    }
+    if (!chosen.ok())
+    {
+        fmt::print(stderr, "{}\n", std::string(chosen.status().message()));
         return exit_fault;
     }
-    return QCoreApplication::exec();
+    set_log_level(chosen->least_logged);
+    drain_timeout = chosen->limits.drain_timeout;
+    subject = std::make_unique<server>(*chosen, stop_loop);
+    absl::Status const started = subject->start();
+    return started.ok() ? QCoreApplication::exec() : fail_start(started);
 }
 
 int version(options::variables_map const& given)
--- /dev/null
+++ b/src/app/last_words.hpp
@@ -0,0 +1,20 @@
+// Says why the process ends, where nothing else would.
+//
+// An exception that nobody catches and a fatal signal write a line to the log's
+// descriptor, with the held lines before it, and then end the process as they
+// would have. The first is free to allocate. The second does what a signal
+// handler may do, and reads the held lines though the signal may have come
+// while one was added: its own line is written first, so that it is out if that
+// fails. With an exhausted stack it says nothing.
+#ifndef AMARANTHARCH_APP_LAST_WORDS_HPP
+#define AMARANTHARCH_APP_LAST_WORDS_HPP
+
+namespace amarantharch
+{
+
+// From now on; once a process.
+void speak_last_words();
+
+} // namespace amarantharch
+
+#endif
--- a/src/app/log.cpp
+++ b/src/app/log.cpp
@@ -77,7 +77,8 @@
     line += "}\n";
     if (buffered_descriptor < 0)
     {
-        fmt::print(stderr, "{}", line);
+        // Nobody may read it: that must not end the process.
+        (void)std::fwrite(line.data(), 1, line.size(), stderr);
         return;
     }
     buffered.add(line, level >= log_level::warning);
@@ -115,4 +116,15 @@
     }
 }
 
+int log_descriptor()
+{
+    return buffered_descriptor < 0 ? STDERR_FILENO : buffered_descriptor;
+}
+
+void write_held_log()
+{
+    std::string_view const pending = buffered.pending();
+    (void)!::write(log_descriptor(), pending.data(), pending.size());
+}
+
 } // namespace amarantharch
--- a/src/app/log.hpp
+++ b/src/app/log.hpp
@@ -53,6 +53,11 @@
 // buffer_log was called.
 void flush_log();
 
+// For the process's last moment: where lines go, and the held ones as they
+// stand, without waiting for room. System calls only.
+int log_descriptor();
+void write_held_log();
+
 } // namespace amarantharch
 
 #endif
--- a/src/app/process_fixture_test.hpp
+++ b/src/app/process_fixture_test.hpp
@@ -61,7 +61,9 @@
 class program
 {
 public:
-    program(std::string const& name, QStringList const& arguments)
+    // `prepare` runs in the process before the program does.
+    program(std::string const& name, QStringList const& arguments,
+            std::function<void()> prepare = nullptr)
     {
         process_.setProgram(
             QString::fromStdString(AMARANTHARCH_BINARY_DIR "/" + name));
@@ -69,7 +71,14 @@
         process_.setProcessChannelMode(QProcess::MergedChannels);
         // Ends with the test program, however that ends.
         process_.setChildProcessModifier(
-            [] { (void)prctl(PR_SET_PDEATHSIG, SIGKILL); });
+            [prepare = std::move(prepare)]
+            {
+                (void)prctl(PR_SET_PDEATHSIG, SIGKILL);
+                if (prepare)
+                {
+                    prepare();
+                }
+            });
         process_.start();
     }
 
@@ -249,9 +258,11 @@
         (void)application();
     }
 
-    program& start(std::string const& name, QStringList const& arguments)
+    program& start(std::string const& name, QStringList const& arguments,
+                   std::function<void()> prepare = nullptr)
     {
-        programs.push_back(std::make_unique<program>(name, arguments));
+        programs.push_back(
+            std::make_unique<program>(name, arguments, std::move(prepare)));
         return *programs.back();
     }
 
--- a/src/app/server.cpp
+++ b/src/app/server.cpp
@@ -29,6 +29,10 @@
 // How long a stopping VM still listens while the balancer turns away from it.
 constexpr std::chrono::milliseconds listen_grace{500};
 
+// Between two tries to bind a port that somebody else holds: short beside a
+// balancer's second between questions, long beside what a try costs.
+constexpr std::chrono::milliseconds bind_interval{100};
+
 // On the platform: a stopping VM takes requests until the balancer has missed
 // its readiness twice, a second apart.
 constexpr std::chrono::milliseconds platform_listen_grace{3'000};
@@ -270,42 +274,91 @@
 
 absl::Status server::start()
 {
-    QHostAddress const address = host(options_.listen_address);
-    absl::Status bound = admin_.listen(address, options_.admin_port);
-    if (bound.ok())
+    add_ports();
+    absl::Status const bound = ports_.bind();
+    if (!bound.ok() && !options_.platform_process)
     {
-        bound = start_peers();
+        return bound;
     }
+    start_timers();
     if (bound.ok())
     {
-        bound = callers_.listen(address, options_.listen_port);
+        log_listening();
+        return bound;
     }
-    if (!bound.ok())
+    QObject::connect(&bind_timer_, &QTimer::timeout, &bind_timer_,
+                     [this] { bind_again(); });
+    bind_timer_.start(bind_interval);
+    return absl::OkStatus();
+}
+
+void server::add_ports()
+{
+    QHostAddress const address = host(options_.listen_address);
+    auto const named = [this](std::uint16_t port)
     {
-        return bound;
+        return fmt::format("{}:{}", options_.listen_address, port);
+    };
+    ports_.add("admin", named(options_.admin_port),
+               [this, address]
+               { return admin_.listen(address, options_.admin_port); });
+    if (options_.platform_process)
+    {
+        add_platform_ports();
     }
-    start_timers();
+    else
+    {
+        ports_.add("peers", named(options_.peer_port),
+                   [this] { return start_peers(); });
+    }
+    ports_.add("callers", named(options_.listen_port),
+               [this, address]
+               { return callers_.listen(address, options_.listen_port); });
+}
+
+void server::add_platform_ports()
+{
+    datagrams_ = std::make_unique<datagram_transport>(
+        options_.vm, [this](peer_message message)
+        { tell(peer_message_received{std::move(message)}); });
+    QHostAddress const address = host(options_.listen_address);
+    std::string const named =
+        fmt::format("{}:{}", options_.listen_address, options_.peer_port);
+    ports_
+        .add("peers", named,
+             [this, address]
+             { return datagrams_->listen(address, options_.peer_port); })
+        .add("relays", named,
+             [this, address]
+             { return relays_.listen(address, options_.peer_port); });
+}
+
+// What drains takes no port any more.
+void server::bind_again()
+{
+    if (drain_until_)
+    {
+        bind_timer_.stop();
+    }
+    else if (ports_.bind().ok())
+    {
+        bind_timer_.stop();
+        log_listening();
+    }
+}
+
+void server::log_listening() const
+{
     log(log_level::info, "listening",
         {{"vm", options_.vm},
          {"failure_domain", options_.failure_domain},
          {"address", options_.listen_address},
          {"port", fmt::to_string(port())},
          {"admin_port", fmt::to_string(admin_port())}});
-    return absl::OkStatus();
 }
 
 absl::Status server::start_peers()
 {
-    if (options_.platform_process)
-    {
-        datagrams_ = std::make_unique<datagram_transport>(
-            options_.vm, [this](peer_message message)
-            { tell(peer_message_received{std::move(message)}); });
-        QHostAddress const address = host(options_.listen_address);
-        absl::Status const bound =
-            datagrams_->listen(address, options_.peer_port);
-        return bound.ok() ? relays_.listen(address, options_.peer_port) : bound;
-    }
     if (options_.tls.certificate.empty())
     {
         return absl::OkStatus();
@@ -825,8 +878,7 @@
     admin_callbacks handlers;
     handlers.ready = [this]
     {
-        node_readiness const now = node_.readiness();
-        return readiness{now.ready, now.reason};
+        return current_readiness();
     };
     handlers.status = [this]
     {
@@ -839,7 +891,7 @@
     };
     handlers.metrics = [this]
     {
-        node_readiness const now = node_.readiness();
+        readiness const now = current_readiness();
         metrics_.set(gauge_name::ready, now.ready ? 1 : 0);
         metrics_.set(
             gauge_name::requests_in_flight,
@@ -867,6 +919,13 @@
     return handlers;
 }
 
+readiness server::current_readiness() const
+{
+    node_readiness const now = node_.readiness();
+    return now.ready && !ports_.complete() ? readiness{false, "port_lost"}
+                                           : readiness{now.ready, now.reason};
+}
+
 // The moves of versions as the inside of a JSON object, by name.
 std::string server::moves_as_json() const
 {
@@ -885,7 +944,7 @@
 
 std::string server::status() const
 {
-    node_readiness const now = node_.readiness();
+    readiness const now = current_readiness();
     control_plane const& control = node_.control();
     revision const in_force = control.configurations().in_force();
     return fmt::format(
--- a/src/app/server.hpp
+++ b/src/app/server.hpp
@@ -10,6 +10,7 @@
 
 #include "app/admin_server.hpp"
 #include "app/metrics.hpp"
+#include "app/port_bindings.hpp"
 #include "app/settings.hpp"
 #include "app/tick_timer.hpp"
 #include "app/timeline.hpp"
@@ -45,7 +46,9 @@
     server(settings options, std::function<void()> done);
     ~server();
 
-    // Binds every address and starts the timers.
+    // Binds every address and starts the timers. On the platform a port that
+    // is held by somebody else is tried again until it is bound or the VM
+    // drains, and the VM is not ready meanwhile; elsewhere it is a failure.
     absl::Status start();
 
     // Starts a graceful shutdown: not ready at once, takes no new connection
@@ -122,8 +125,13 @@
     void take_vm_list(std::vector<listed_vm> const& vms);
     void end_if_drained();
 
+    void add_ports();
+    void add_platform_ports();
     absl::Status start_peers();
+    void bind_again();
     void start_timers();
+    void log_listening() const;
+    readiness current_readiness() const;
     admin_callbacks admin_handlers();
     platform::link_handlers link_handlers();
     std::chrono::milliseconds stop_listening_after() const;
@@ -139,6 +147,8 @@
     http_client upstreams_;
     connection_check checks_;
     admin_server admin_;
+    port_bindings ports_;
+    QTimer bind_timer_; // runs while ports are tried again
     metrics metrics_;
     timeline timeline_;
     std::unique_ptr<log_transport> log_;            // null: no log configured
--- a/src/app/signal_watcher_test.cpp
+++ b/src/app/signal_watcher_test.cpp
@@ -1,12 +1,15 @@
 #include "app/process_fixture_test.hpp"
 #include "app/signal_watcher.hpp"
 
+#include <QTcpServer>
+
 #include <sys/ioctl.h>
 #include <sys/stat.h>
 
 #include <fcntl.h>
 #include <unistd.h>
 
+#include <array>
 #include <string_view>
 
 using namespace amarantharch;
@@ -40,6 +43,18 @@
     return now.sa_handler == SIG_DFL;
 }
 
+// Makes standard error a pipe without a reader.
+void lose_log()
+{
+    std::array<int, 2> ends{};
+    if (pipe(ends.data()) == 0)
+    {
+        (void)dup2(ends[1], STDERR_FILENO);
+        (void)close(ends[0]);
+        (void)close(ends[1]);
+    }
+}
+
 // A VM whose settings are a pipe: it has read them and waits for their end.
 struct vm_that_reads_its_settings : process_fixture
 {
@@ -112,6 +127,30 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(whose_log_nobody_reads)
+
+BOOST_FIXTURE_TEST_CASE(serves_all_the_same, process_fixture)
+{
+    QTcpServer free;
+    BOOST_REQUIRE(free.listen(QHostAddress::LocalHost));
+    std::uint16_t const port = free.serverPort();
+    free.close();
+    std::string const path = write_file(
+        "vm.ini", fmt::format("[vm]\nid = entry-0\nfailure_domain = asan\n"
+                              "listen_port = {}\n",
+                              port));
+    program& vm =
+        start("amarantharch",
+              {"serve", "--settings", QString::fromStdString(path)}, lose_log);
+    call const ask{"", "GET", "/", {}, ""};
+    std::string const address = fmt::format("127.0.0.1:{}", port);
+    BOOST_TEST(run_until([&] { return fetch(address, ask, patience).ok(); }));
+    vm.terminate(); // what it says of that meets no reader either
+    BOOST_TEST(vm.exit_status() == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_FIXTURE_TEST_SUITE(a_signal, watched)
--- a/src/net/datagram_transport.cpp
+++ b/src/net/datagram_transport.cpp
@@ -86,7 +86,9 @@
 {
     auto const target = parse_endpoint(address);
     std::string const bytes = encode_datagram(vm_, message);
-    if (!target || bytes.size() > max_bytes)
+    // A socket that is not bound would take a port of its own.
+    if (!target || bytes.size() > max_bytes ||
+        socket_.state() != QAbstractSocket::BoundState)
     {
         ++dropped_;
         return;
--- a/src/net/datagram_transport.hpp
+++ b/src/net/datagram_transport.hpp
@@ -34,6 +34,8 @@
     datagram_transport(std::string vm,
                        std::function<void(peer_message)> received);
 
+    // May be called again after a failure. Until it succeeds messages are
+    // dropped.
     absl::Status listen(QHostAddress const& address, std::uint16_t port);
     std::uint16_t port() const
     {
@@ -43,7 +45,8 @@
     // `address`: ip:port. Nothing tells whether the message arrives.
     void send(std::string const& address, peer_message const& message);
 
-    // Messages that were too large, and datagrams that were none of ours.
+    // Messages that were too large or came before listen(), and datagrams that
+    // were none of ours.
     std::uint64_t dropped() const
     {
         return dropped_;
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -102,7 +102,8 @@
     http_server(http_server const&) = delete;
     http_server& operator=(http_server const&) = delete;
 
-    // Port 0 takes any free one. Fails if the address cannot be bound.
+    // Port 0 takes any free one. Fails if the address cannot be bound, and may
+    // be called again then.
     absl::Status listen(QHostAddress const& address, std::uint16_t port);
     std::uint16_t port() const;
 
