--- a/src/app/process_fixture_test.hpp
+++ b/src/app/process_fixture_test.hpp
@@ -61,7 +61,9 @@
 class program
 {
 public:
-    program(std::string const& name, QStringList const& arguments)
+    // `prepare` runs in the process before the program does.
+    program(std::string const& name, QStringList const& arguments,
+            std::function<void()> prepare = nullptr)
     {
         process_.setProgram(
             QString::fromStdString(AMARANTHARCH_BINARY_DIR "/" + name));
@@ -69,7 +71,14 @@
         process_.setProcessChannelMode(QProcess::MergedChannels);
         // Ends with the test program, however that ends.
         process_.setChildProcessModifier(
-            [] { (void)prctl(PR_SET_PDEATHSIG, SIGKILL); });
+            [prepare = std::move(prepare)]
+            {
+                (void)prctl(PR_SET_PDEATHSIG, SIGKILL);
+                if (prepare)
+                {
+                    prepare();
+                }
+            });
         process_.start();
     }
 
@@ -120,20 +129,25 @@
         (void)process_.waitForFinished();
     }
 
-    // Stops the process where it stands, until thaw().
+    void send(int signal)
+    {
+        (void)::kill(static_cast<pid_t>(process_.processId()), signal);
+    }
+
     // The settings have changed.
     void reload()
     {
-        (void)::kill(static_cast<pid_t>(process_.processId()), SIGHUP);
+        send(SIGHUP);
     }
 
+    // Stops the process where it stands, until thaw().
     void freeze()
     {
-        (void)::kill(static_cast<pid_t>(process_.processId()), SIGSTOP);
+        send(SIGSTOP);
     }
     void thaw()
     {
-        (void)::kill(static_cast<pid_t>(process_.processId()), SIGCONT);
+        send(SIGCONT);
     }
 
     bool running() const
@@ -244,16 +258,19 @@
         (void)application();
     }
 
-    program& start(std::string const& name, QStringList const& arguments)
+    program& start(std::string const& name, QStringList const& arguments,
+                   std::function<void()> prepare = nullptr)
     {
-        programs.push_back(std::make_unique<program>(name, arguments));
+        programs.push_back(
+            std::make_unique<program>(name, arguments, std::move(prepare)));
         return *programs.back();
     }
 
     // Writes `text` to a file that lasts as long as the fixture.
     std::string write_file(std::string const& name, std::string const& text)
     {
-        std::string path = directory.filePath("").toStdString() + name;
+        std::string path =
+            directory.filePath(QString::fromStdString(name)).toStdString();
         std::ofstream(path) << text;
         return path;
     }
