Callers get an answer at the end of a drain, and what they sent ahead too

What callers saw: a connection that closed without a word. A head or body that still arrived when a stopping process ended got no answer, and a request that was sent ahead behind another was read and discarded, since the answer before it said "Connection: close".

Cause: a drain had no end in the server of callers: only the process's exit ended what callers drew out; and whether a connection is kept was decided when its request was read, not when its answer was written.

drain() takes the time within which all that callers can draw out ends: heads and bodies that are not whole then are refused with 503 "stopping" and Retry-After before they are passed on, and idle connections are closed. Whether a connection is kept is decided with the answer's head: it is while bytes of a further request wait, which then gets the close. close_after_answers() turns callers away while new connections are still taken. An idle connection is not closed while bytes wait in its socket.

Seen failing before, on the untouched server with drain(within) and close_after_answers() as stubs: in http_server_test/graceful_shutdown, answers_what_was_sent_ahead_before_it_closes (no second request), turns_callers_away_with_their_answers_while_it_listens (never closed), whose_end_comes/refuses_a_body_that_still_arrives and _a_head_ (no answer, not closed). closes_an_idle_connection held before. That an idle connection with a request in its socket stays open was not reproduced and has no test.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -9,6 +9,7 @@
 
 #include <fmt/format.h>
 
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -242,7 +243,7 @@
         connection& row = connections_[socket];
         row.socket = socket;
         row.address = socket->peerAddress().toString().toStdString();
-        row.deadline = now + limits_.idle_timeout;
+        row.deadline = bounded(now + limits_.idle_timeout);
         row.write_progress = now;
         socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
         socket->setReadBufferSize(socket_buffer_bytes);
@@ -385,7 +386,7 @@
         row.parser->header_limit(limits_.header_bytes);
         row.parser->body_limit(limits_.body_bytes);
         row.state = phase::head;
-        row.deadline = now + limits_.header_timeout;
+        row.deadline = bounded(now + limits_.header_timeout);
         row.head_request = false;
         row.version_1_0 = false;
     }
@@ -402,7 +403,7 @@
     {
         note_head(row);
         row.state = phase::body;
-        row.deadline = now + limits_.body_timeout;
+        row.deadline = bounded(now + limits_.body_timeout);
         auto const& message = row.parser->get();
         if (!row.parser->is_done() && !row.version_1_0 &&
             lists_token(std::string(message[http::field::expect]),
@@ -432,7 +433,7 @@
     {
         auto message = row.parser->release();
         end_reading(row);
-        row.keep_alive = message.keep_alive() && !draining_;
+        row.keep_alive = message.keep_alive();
         call request;
         request.id = given_request_id(message);
         request.method = std::string(message.method_string());
@@ -495,9 +496,23 @@
         write_at_once(*row.socket, bytes);
     }
 
-    // The fields by which this connection, not the answer, is governed.
-    static std::string_view connection_header(connection const& row)
+    // Whether bytes wait that this connection has not parsed; the event loop
+    // may not have seen them yet.
+    static bool has_more(connection const& row)
     {
+        int waiting = 0;
+        (void)::ioctl(static_cast<int>(row.socket->socketDescriptor()),
+                      FIONREAD, &waiting); // leaves 0 if it fails
+        return !row.input.empty() || row.socket->bytesAvailable() > 0 ||
+               waiting > 0;
+    }
+
+    // The fields by which this connection, not the answer, is governed; decides
+    // whether it is kept.
+    std::string_view connection_header(connection& row) const
+    {
+        row.keep_alive =
+            row.keep_alive && (!close_after_answers_ || has_more(row));
         if (!row.keep_alive)
         {
             return "Connection: close\r\n";
@@ -676,8 +691,8 @@
             return;
         }
         row.state = phase::idle;
-        row.deadline =
-            now + (draining_ ? limits_.drain_grace : limits_.idle_timeout);
+        row.deadline = bounded(
+            now + (draining_ ? limits_.drain_grace : limits_.idle_timeout));
         QTcpSocket* const socket = row.socket;
         QMetaObject::invokeMethod(
             socket, [this, socket] { read(socket); }, Qt::QueuedConnection);
@@ -721,21 +736,27 @@
         server_.close();
     }
 
-    void drain(steady_time now)
+    // The end of drain() comes before any later deadline.
+    steady_time bounded(steady_time deadline) const
+    {
+        return drain_end_ ? std::min(deadline, *drain_end_) : deadline;
+    }
+
+    void drain(steady_time now, duration within)
     {
         stop_accepting();
         draining_ = true;
+        close_after_answers_ = true;
+        if (within < std::chrono::floor<duration>(steady_time::max() - now))
+        {
+            drain_end_ = now + within;
+        }
         for (auto& [socket, row] : connections_)
         {
-            if (row.state == phase::idle)
-            {
-                row.deadline =
-                    std::min(row.deadline, now + limits_.drain_grace);
-            }
-            else if (!row.started)
-            {
-                row.keep_alive = false;
-            }
+            row.deadline =
+                bounded(row.state == phase::idle
+                            ? std::min(row.deadline, now + limits_.drain_grace)
+                            : row.deadline);
         }
         QMetaObject::invokeMethod(
             &server_, [this] { report_if_drained(); }, Qt::QueuedConnection);
@@ -778,7 +799,11 @@
         }
         else if (row.state == phase::idle)
         {
-            close(row, now);
+            has_more(row) ? read(row.socket) : close(row, now);
+        }
+        else if (drain_end_ && now >= *drain_end_)
+        {
+            reject(row, no_room("stopping"));
         }
         else
         {
@@ -793,6 +818,8 @@
     http_server_limits limits_;
     http_server_handlers handlers_;
     bool draining_ = false;
+    bool close_after_answers_ = false;
+    std::optional<steady_time> drain_end_;
     exchange_id next_exchange_ = 1;
     std::unordered_map<QTcpSocket*, connection> connections_;
     // exchanges_[e] == &c if and only if c.exchange == e != 0; rows of
@@ -883,9 +910,14 @@
     impl_->stop_accepting();
 }
 
-void http_server::drain()
+void http_server::close_after_answers()
+{
+    impl_->close_after_answers_ = true;
+}
+
+void http_server::drain(duration within)
 {
-    impl_->drain(steady_clock::now());
+    impl_->drain(steady_clock::now(), within);
 }
 
 std::string http_server::source_of(exchange_id exchange) const
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -20,6 +20,7 @@
 //     431 headers_too_large
 //     503 too_many_connections
 //     503 body_memory_exhausted all bodies being read exceed their budget
+//     503 stopping              not whole at the end of drain()
 //
 // A caller that closes its sending side counts as having left.
 //
@@ -59,7 +60,8 @@
     // exchange is paused, below half of it resumed, above `limit` cut.
     std::size_t outgoing_pause_bytes = std::size_t{256} << 10;
     std::size_t outgoing_limit_bytes = std::size_t{4} << 20;
-    // A keep-alive connection without a request is closed.
+    // A keep-alive connection without a request is closed, but not while bytes
+    // of one wait in its socket.
     duration idle_timeout = std::chrono::seconds(75);
     duration header_timeout = std::chrono::seconds(10);
     duration body_timeout = std::chrono::seconds(60);
@@ -135,10 +137,17 @@
     // Closes the listening socket after accepting what already waits on it.
     void stop_accepting();
 
-    // Graceful shutdown: stops accepting, closes connections that stay idle
-    // for drain_grace, and ends the others, with "Connection: close", after
-    // their next answer. Calls handlers.drained when none is left.
-    void drain();
+    // From now on an answer ends its connection, with "Connection: close",
+    // unless its caller has sent a further request ahead: discarding that would
+    // leave it without an answer. New connections are still taken.
+    void close_after_answers();
+
+    // Graceful shutdown: stops accepting, does close_after_answers, and closes
+    // connections that stay idle for drain_grace. `within` bounds all that
+    // callers can draw out: idle connections are closed and requests that are
+    // not whole are refused by then; answers that are owed are the handlers'.
+    // Calls handlers.drained when no connection is left.
+    void drain(duration within = duration::max());
 
     std::size_t connections() const;
 
--- a/src/net/http_server_test.cpp
+++ b/src/net/http_server_test.cpp
@@ -682,6 +682,77 @@
     BOOST_TEST(f.wait_for_requests(1));
 }
 
+BOOST_AUTO_TEST_CASE(answers_what_was_sent_ahead_before_it_closes)
+{
+    fixture f;
+    peer_socket caller(f.server.port());
+    caller.send(get_a + get_b);
+    BOOST_REQUIRE(f.wait_for_requests(1));
+    f.server.drain();
+    f.server.answer(f.requests[0].exchange, 200, {}, "first");
+    BOOST_REQUIRE(f.wait_for_requests(2));
+    BOOST_TEST(!caller.got("Connection: close"));
+    f.server.answer(f.requests[1].exchange, 200, {}, "second");
+    BOOST_TEST(run_until([&] { return caller.closed; }));
+    BOOST_TEST(caller.got("Connection: close"));
+    BOOST_TEST(caller.received.ends_with("second"));
+}
+
+BOOST_AUTO_TEST_CASE(turns_callers_away_with_their_answers_while_it_listens)
+{
+    fixture f;
+    peer_socket kept(f.server.port());
+    kept.send(get_a);
+    BOOST_REQUIRE(f.wait_for_requests(1));
+    f.server.close_after_answers();
+    f.server.answer(f.requests[0].exchange, 200, {}, "done");
+    BOOST_TEST(run_until([&] { return kept.closed; }));
+    BOOST_TEST(kept.got("Connection: close"));
+    peer_socket another(f.server.port());
+    another.send(get_b);
+    BOOST_TEST(f.wait_for_requests(2));
+}
+
+BOOST_AUTO_TEST_SUITE(whose_end_comes)
+
+struct draining_fixture : fixture
+{
+    // Drains for so short a time that `sent` is not whole before its end.
+    std::string answer_to(std::string const& sent)
+    {
+        peer_socket caller(server.port());
+        caller.send(sent);
+        run_pending();
+        server.drain(soon);
+        BOOST_TEST(run_until([&] { return caller.closed; }));
+        return caller.received;
+    }
+};
+
+BOOST_FIXTURE_TEST_CASE(refuses_a_body_that_still_arrives, draining_fixture)
+{
+    std::string const answer = answer_to(post + "Content-Length: 3\r\n\r\na");
+    BOOST_TEST(answer.starts_with("HTTP/1.1 503"));
+    BOOST_TEST(answer.find("\"stopping\"") != std::string::npos);
+    BOOST_TEST(answer.find("Retry-After: ") != std::string::npos);
+    BOOST_TEST(answer.find("Connection: close") != std::string::npos);
+    BOOST_TEST(requests.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(refuses_a_head_that_still_arrives, draining_fixture)
+{
+    std::string const answer = answer_to("GET /a HT");
+    BOOST_TEST(answer.starts_with("HTTP/1.1 503"));
+    BOOST_TEST(answer.find("\"stopping\"") != std::string::npos);
+}
+
+BOOST_FIXTURE_TEST_CASE(closes_an_idle_connection, draining_fixture)
+{
+    BOOST_TEST(answer_to("").empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_CASE(is_reported_at_once_when_there_is_nothing_to_finish)
 {
     fixture f;
