--- a/src/app/cut_answer_process_test.cpp
+++ b/src/app/cut_answer_process_test.cpp
@@ -1,4 +1,5 @@
-// A VM as a process, and servers that stop in the middle of an answer's head.
+// Servers that stop in the middle of an answer's head before a VM as a process,
+// and VMs that do before an operator's command.
 #include "app/process_fixture_test.hpp"
 #include "net/test_support.hpp"
 
@@ -194,3 +195,38 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(an_operators_command)
+
+// Guards against a command that reports what a VM never finished saying.
+BOOST_AUTO_TEST_CASE(fails_on_an_answer_cut_at_any_byte)
+{
+    (void)application();
+    std::string const whole = head + body;
+    for (std::size_t sent = 0; sent <= whole.size(); ++sent)
+    {
+        BOOST_TEST_CONTEXT(sent << " bytes")
+        {
+            peer_server vm;
+            bool answered = false;
+            QTimer answer;
+            QObject::connect(&answer, &QTimer::timeout, &answer,
+                             [&]
+                             {
+                                 if (vm.count("GET /status") > 0 &&
+                                     !std::exchange(answered, true))
+                                 {
+                                     vm.connections[0]->send(
+                                         whole.substr(0, sent));
+                                     vm.connections[0]->close();
+                                 }
+                             });
+            answer.start(std::chrono::milliseconds(1));
+            auto const got = fetch_body(
+                vm.address(), {"", "GET", "/status", {}, ""}, patience);
+            BOOST_TEST(got.ok() == (sent == whole.size()));
+        }
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/net/cut_answer_test.cpp
+++ b/src/net/cut_answer_test.cpp
@@ -137,6 +137,11 @@
         {"folded field", "", ok + "X: a\r\n b\r\n" + length, body},
         {"empty reason", "", "HTTP/1.1 200 \r\n" + length, body},
         {"1.0 with a length", "", "HTTP/1.0 200 OK\r\n" + length, body},
+        {"a relaying VM's failure", "",
+         "HTTP/1.1 502 Bad Gateway\r\nX-Relay-Failure: connection_lost\r\n"
+         "X-Relay-Verdict: may_have_run\r\nX-Relay-Place: upstream\r\n"
+         "Content-Length: 0\r\n\r\n",
+         ""},
         {"ended by closing", "", ok + "X: y\r\n\r\n", body, "GET", true},
         {"1.0 ended by closing", "", "HTTP/1.0 200 OK\r\n\r\n", body, "GET",
          true},
@@ -253,13 +258,13 @@
 // much of it comes.
 BOOST_AUTO_TEST_CASE(has_no_head_where_its_form_is_not_known)
 {
+    std::string const framed_twice = "HTTP/1.1 200 OK\r\nContent-Length: 12\r\n"
+                                     "Transfer-Encoding: chunked\r\n\r\n";
     for (std::string const& head : std::vector<std::string>{
              "HTTP/1.1 200 OK\nContent-Length: 12\n\n",
              "HTTP/1.1 200 OK\r\nContent-Length: 12\n\r\n",
              "HTTP/1.1 200 OK\r\nContent-Length : 12\r\n\r\n",
-             "HTTP/1.1 200 OK\r\nContent-Length: 1 2\r\n\r\n",
-             "HTTP/1.1 200 OK\r\nContent-Length: 12\r\n"
-             "Transfer-Encoding: chunked\r\n\r\n"})
+             "HTTP/1.1 200 OK\r\nContent-Length: 1 2\r\n\r\n", framed_twice})
     {
         for (std::size_t sent = 0; sent <= head.size(); ++sent)
         {
