--- a/src/app/server.cpp
+++ b/src/app/server.cpp
@@ -275,7 +275,7 @@
 absl::Status server::start()
 {
     add_ports();
-    absl::Status const bound = ports_.bind();
+    absl::Status bound = ports_.bind();
     if (!bound.ok() && !options_.platform_process)
     {
         return bound;
