A stop gives requests its grace, whatever its length, and ends before SIGKILL

What callers saw: with a grace of 1 or 2 s, streams that had been passed on before SIGTERM were cut with half or a quarter of the grace left; in every grace the process was met by SIGKILL, and its last log lines were lost.

Cause: times of a stop that are not derived from the time it has: 500 ms were kept back for the last answers, the front listened for 3 s, and the process used the whole of the grace.

What is kept back is now a tenth of the grace, 500 ms at most, and the process ends in the middle of that. The front listens for 3 s, half of the grace at most; then it and the listener for other VMs' attempts are drained within the rest. From SIGTERM on an answer turns its caller away. The log's listening_ended says when the front closed, with what was open. The timer that closed it was coarse and not ordered with the end; the tick does both now.

That this is what the users saw is not shown: the site's grace is 8 s.

Seen failing before: whole_sessions with short_grace.session (refused at 1.5 s of 2), end_before_they_are_killed_at_the_end_of_the_grace (4.005 s of 4, no answer to the caller).

--- a/src/app/process_test.cpp
+++ b/src/app/process_test.cpp
@@ -1,6 +1,9 @@
 // The whole path in separate processes: stand-ins, VMs and callers.
 #include "app/process_fixture_test.hpp"
 
+#include <QHostAddress>
+#include <QTcpSocket>
+
 #include <array>
 
 using namespace amarantharch;
@@ -44,9 +47,14 @@
     }
 
     bool serves(std::size_t vm)
+    {
+        return serves_at(addresses[vm]);
+    }
+
+    static bool serves_at(std::string const& address)
     {
         auto const answer =
-            fetch(addresses[vm], post("/listings", "hello"), patience);
+            fetch(address, post("/listings", "hello"), patience);
         return answer.ok() && answer->status == 200 &&
                answer->body.find(R"("echo":"hello")") != std::string::npos;
     }
@@ -138,6 +146,37 @@
     BOOST_TEST(serves(1));
 }
 
+BOOST_FIXTURE_TEST_CASE(end_before_they_are_killed_at_the_end_of_the_grace,
+                        fleet)
+{
+    constexpr double grace_us = 4e6;
+    program& stopping =
+        start_vm("entry-3", "patan",
+                 fmt::format("[limits]\ndrain_timeout = 4000\n"
+                             "[upstream desk-1]\naddress = {}\nservice = desk\n"
+                             "[route desk]\nprefix = /\nservice = desk\n"
+                             "idempotent = yes\n",
+                             desk));
+    std::string const address = stopping.address();
+    QTcpSocket caller;
+    caller.connectToHost(
+        QHostAddress::LocalHost,
+        QString::fromStdString(address.substr(address.find(':') + 1))
+            .toUShort());
+    BOOST_REQUIRE(caller.waitForConnected());
+    caller.write("POST /reports HTTP/1.1\r\nContent-Length: 3\r\n\r\na");
+    caller.flush();
+    BOOST_REQUIRE(serves_at(address));
+    stopping.terminate();
+    auto const time_of = [&](char const* event)
+    {
+        return stopping.wait_for(event).value("time_us").toDouble();
+    };
+    BOOST_TEST(time_of("stopped") - time_of("draining") < grace_us);
+    BOOST_TEST(stopping.exit_status() == 0, stopping.output());
+    BOOST_TEST(caller.readAll().startsWith("HTTP/1.1 503"));
+}
+
 BOOST_FIXTURE_TEST_CASE(stop_at_once_where_nothing_is_in_progress, fleet)
 {
     BOOST_TEST(serves(0));
--- a/src/app/server.cpp
+++ b/src/app/server.cpp
@@ -29,9 +29,12 @@
 // How long a stopping VM still listens while the balancer turns away from it.
 constexpr std::chrono::milliseconds listen_grace{500};
 
-// On the platform: a stopping VM takes requests until the balancer has missed
-// its readiness twice, a second apart.
+// On the platform: a stopping VM takes connections until the balancer has
+// missed its readiness twice, a second apart.
 constexpr std::chrono::milliseconds platform_listen_grace{3'000};
+// The part of a grace, one in so many, after which it listens no more: the rest
+// is left for what was accepted last.
+constexpr int graces_per_listening = 2;
 // Between a VM's messages about usage; quotas err by what is admitted
 // meanwhile.
 constexpr duration platform_usage_interval = std::chrono::milliseconds(300);
@@ -261,9 +264,10 @@
     return handlers;
 }
 
-std::chrono::milliseconds server::stop_listening_after() const
+duration server::listens_for(duration grace) const
 {
-    return link_ ? platform_listen_grace : listen_grace;
+    return std::min<duration>(link_ ? platform_listen_grace : listen_grace,
+                              grace / graces_per_listening);
 }
 
 // ---- Starting and stopping. ----
@@ -358,15 +362,32 @@
     {
         return;
     }
-    drain_until_ = present() + timeout;
-    listen_until_ = present() + stop_listening_after();
+    time_point const now = present();
+    drain_until_ = now + timeout;
+    listen_until_ = now + listens_for(timeout);
     log(log_level::info, "draining",
         {{"vm", options_.vm},
          {"timeout_ms", fmt::to_string(to_millis(timeout))},
          {"requests", fmt::to_string(node_.requests().requests_in_flight())}});
     tell(stop_requested{*drain_until_});
-    QTimer::singleShot(stop_listening_after(), &platform_timer_,
-                       [this] { callers_.drain(); });
+    callers_.close_after_answers();
+    relays_.close_after_answers();
+}
+
+// The rest of the grace is for what was accepted, here and for other VMs.
+void server::stop_listening_if_due(time_point now)
+{
+    if (!listen_until_ || now < *listen_until_)
+    {
+        return;
+    }
+    listen_until_.reset();
+    log(log_level::info, "listening_ended",
+        {{"connections", fmt::to_string(callers_.connections())},
+         {"requests", fmt::to_string(node_.requests().requests_in_flight())}});
+    duration const rest = *node_.requests().stop_time() - now;
+    callers_.drain(rest);
+    relays_.drain(rest);
 }
 
 void server::end_if_drained()
@@ -375,10 +396,14 @@
     {
         return;
     }
-    bool const idle = present() >= listen_until_ &&
-                      callers_.connections() == 0 && node_.requests().idle() &&
+    bool const idle = !listen_until_ && callers_.connections() == 0 &&
+                      relays_.connections() == 0 && node_.requests().idle() &&
                       node_.relayed().idle();
-    if (idle || present() >= *drain_until_)
+    // The platform kills what still runs at the end: the last answers and the
+    // log leave before, in the first half of what is kept back for them.
+    time_point const answered = *node_.requests().stop_time();
+    time_point const last = answered + (*drain_until_ - answered) / 2;
+    if (idle || present() >= last)
     {
         std::exchange(done_, nullptr)();
     }
@@ -747,6 +772,7 @@
         link_->tick();
     }
     flush_log();
+    stop_listening_if_due(present());
     end_if_drained();
 }
 
--- a/src/app/server.hpp
+++ b/src/app/server.hpp
@@ -120,13 +120,14 @@
     void poll_platform();
     void poll_upstreams();
     void take_vm_list(std::vector<listed_vm> const& vms);
+    void stop_listening_if_due(time_point now);
     void end_if_drained();
 
     absl::Status start_peers();
     void start_timers();
     admin_callbacks admin_handlers();
     platform::link_handlers link_handlers();
-    std::chrono::milliseconds stop_listening_after() const;
+    duration listens_for(duration grace) const;
     std::string status() const;
     std::string moves_as_json() const;
 
@@ -151,8 +152,8 @@
     tick_timer tick_timer_;
     QTimer platform_timer_;
     std::size_t next_polled_upstream_ = 0;
-    std::optional<time_point> drain_until_; // set once draining
-    time_point listen_until_{};             // while draining
+    std::optional<time_point> drain_until_;  // set once draining
+    std::optional<time_point> listen_until_; // while draining and listening
     std::uint64_t next_request_ = 1;
     // callers_waiting_[r].exchange == e if and only if requests_[e] == r.
     std::map<request_id, caller_row> callers_waiting_;
--- a/src/core/request_path.cpp
+++ b/src/core/request_path.cpp
@@ -15,8 +15,10 @@
 
 constexpr duration overload_retry_after = std::chrono::seconds(1);
 constexpr duration accepted_retry_after = std::chrono::seconds(1);
-// A request whose deadline is later than the stop time less this is refused.
-constexpr duration stop_margin = std::chrono::milliseconds(500);
+// What is unfinished is given up so long before the process must be gone: time
+// for the answers, and at most a tenth of the grace, which belongs to requests.
+constexpr duration stop_margin_max = std::chrono::milliseconds(500);
+constexpr int graces_per_stop_margin = 10;
 constexpr int too_many_requests = 429;
 constexpr std::uint32_t default_output_tokens = 128;
 // How long upstreams' limits are still shared with VMs that are not listed any
@@ -325,7 +327,7 @@
     add_timeline_entry(
         "request_received", request.id,
         fmt::format("route={} organisation={}", route->name, *organisation));
-    if (stop_deadline_ && r.deadline > *stop_deadline_ - stop_margin)
+    if (stop_time_ && r.deadline > *stop_time_)
     {
         refuse(now, r, 503, "stopping", failure_retry_after);
         return;
@@ -590,7 +592,9 @@
 void request_path::handle(time_point now, stop_requested const& what)
 {
     event_time_ = now;
-    stop_deadline_ = what.deadline;
+    stop_time_ = what.deadline -
+                 std::min(stop_margin_max,
+                          (what.deadline - now) / graces_per_stop_margin);
     ledger_.stop(now, what.deadline);
     add_timeline_entry(
         "stopping", "",
@@ -762,8 +766,7 @@
     {
         use_fleet_position(now, listed_position_);
     }
-    bool const must_stop_now =
-        stop_deadline_ && now >= *stop_deadline_ - stop_margin;
+    bool const must_stop_now = stop_time_ && now >= *stop_time_;
     std::vector<request_id> expired;
     std::vector<request_id> due;
     for (auto const& [id, r] : rows_)
--- a/src/core/request_path.hpp
+++ b/src/core/request_path.hpp
@@ -301,7 +301,14 @@
     }
     bool stopping() const
     {
-        return stop_deadline_.has_value();
+        return stop_time_.has_value();
+    }
+
+    // When what is unfinished is given up, shortly before the process must be
+    // gone; nothing unless the VM stops.
+    std::optional<time_point> stop_time() const
+    {
+        return stop_time_;
     }
 
     // Whether nothing is in progress, so that the process may exit.
@@ -512,7 +519,7 @@
     std::map<request_id, row> rows_;
     // attempts_[a] == r if and only if rows_[r].attempt == a != 0.
     std::map<attempt_id, request_id> attempts_;
-    std::optional<time_point> stop_deadline_;
+    std::optional<time_point> stop_time_;  // see stop_time()
     std::vector<std::string> handed_over_; // records to be sent to peers
     std::vector<leaving_upstream> found_leaving_;
     struct brittle_refusal
