--- a/src/app/signal_watcher_test.cpp
+++ b/src/app/signal_watcher_test.cpp
@@ -164,6 +164,22 @@
     BOOST_TEST(run_until([&] { return stops == 1 && reloads == 1; }));
 }
 
+BOOST_AUTO_TEST_SUITE(before_its_watcher)
+
+BOOST_AUTO_TEST_CASE(is_told_once_the_watcher_is_there)
+{
+    BOOST_REQUIRE(signal_watcher::hold());
+    for (int const number : {SIGHUP, SIGHUP, SIGTERM})
+    {
+        BOOST_REQUIRE(raise(number) == 0);
+    }
+    auto const watcher = watch();
+    BOOST_REQUIRE(watcher);
+    BOOST_TEST(run_until([&] { return stops == 1 && reloads == 1; }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(after_the_end_of_its_watcher)
 
 BOOST_AUTO_TEST_CASE(does_not_end_the_process)
