--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -38,6 +38,8 @@
 constexpr duration sweep_interval_max = std::chrono::milliseconds(250);
 constexpr duration sweep_interval_min = std::chrono::milliseconds(5);
 constexpr int sweeps_per_timeout = 4;
+// While a drain has an end: its process may exit 50 ms after that.
+constexpr std::chrono::milliseconds drain_sweep_interval{10};
 
 constexpr int status_no_content = 204;
 constexpr int status_not_modified = 304;
@@ -770,6 +772,8 @@
         if (within < std::chrono::floor<duration>(steady_time::max() - now))
         {
             drain_end_ = now + within;
+            sweep_timer_.setTimerType(Qt::PreciseTimer);
+            sweep_timer_.setInterval(drain_sweep_interval);
         }
         for (auto& [socket, row] : connections_)
         {
--- a/src/net/http_server_test.cpp
+++ b/src/net/http_server_test.cpp
@@ -4,10 +4,13 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <QTimer>
+
 #include <fmt/format.h>
 
 #include <fcntl.h>
 #include <sys/resource.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <array>
@@ -752,6 +755,32 @@
     BOOST_TEST(answer.find("\"stopping\"") != std::string::npos);
 }
 
+// A process with a grace of 1 s exits so long after the end of its drain.
+BOOST_FIXTURE_TEST_CASE(refuses_it_before_the_process_exits, draining_fixture)
+{
+    constexpr std::chrono::milliseconds until_exit{50};
+    peer_socket caller(server.port());
+    caller.send(post + "Content-Length: 3\r\n\r\na");
+    run_pending();
+    server.drain(soon);
+    bool exits = false;
+    bool answered = false;
+    QTimer::singleShot(
+        std::chrono::ceil<std::chrono::milliseconds>(soon) + until_exit,
+        Qt::PreciseTimer, &caller.socket(),
+        [&]
+        {
+            char byte = 0;
+            exits = true;
+            answered =
+                !caller.received.empty() ||
+                ::recv(static_cast<int>(caller.socket().socketDescriptor()),
+                       &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+        });
+    BOOST_REQUIRE(run_until([&] { return exits; }));
+    BOOST_TEST(answered);
+}
+
 BOOST_FIXTURE_TEST_CASE(closes_an_idle_connection, draining_fixture)
 {
     BOOST_TEST(answer_to("").empty());
