--- a/src/app/signal_watcher.cpp
+++ b/src/app/signal_watcher.cpp
@@ -22,22 +22,23 @@
 // By the order of watched_signals: it came while nobody watched.
 std::array<volatile sig_atomic_t, watched_signals.size()> held{};
 
-void notify_watcher(int signal)
+void notify(int socket, int signal)
 {
     char const byte = static_cast<char>(signal);
-    (void)!write(notify_socket, &byte, sizeof byte);
+    (void)!write(socket, &byte, sizeof byte);
 }
 
 void handle(int signal)
 {
     int const before = errno;
-    if (notify_socket >= 0)
+    int const socket = notify_socket;
+    for (std::size_t i = 0; socket < 0 && i < held.size(); ++i)
     {
-        notify_watcher(signal);
+        held[i] = held[i] != 0 || watched_signals[i] == signal ? 1 : 0;
     }
-    for (std::size_t i = 0; notify_socket < 0 && i < held.size(); ++i)
+    if (socket >= 0)
     {
-        held[i] = held[i] != 0 || watched_signals[i] == signal ? 1 : 0;
+        notify(socket, signal);
     }
     errno = before;
 }
@@ -49,7 +50,7 @@
         if (held[i] != 0)
         {
             held[i] = 0;
-            notify_watcher(watched_signals[i]);
+            notify(notify_socket, watched_signals[i]);
         }
     }
 }
