--- a/src/app/commands.cpp
+++ b/src/app/commands.cpp
@@ -18,9 +18,11 @@
 #include <unistd.h>
 
 #include <chrono>
+#include <cstdio>
 #include <fstream>
 #include <iterator>
 #include <memory>
+#include <utility>
 
 namespace amarantharch
 {
@@ -157,14 +159,16 @@
     auto read = chosen_settings(given);
     bool const waits =
         given.count("platform") != 0 && may_become_readable(read.status());
-    if (waits)
-    {
-        log(log_level::warning, "settings_unreadable",
-            {{"reason", std::string(read.status().message())}});
-        flush_log();
-    }
+    std::string told; // the reason that was logged last
     while (waits && !stop && !read.ok())
     {
+        std::string const reason(read.status().message());
+        if (std::exchange(told, reason) != reason)
+        {
+            log(log_level::warning, "settings_unreadable",
+                {{"reason", reason}});
+        }
+        flush_log();
         QEventLoop pause;
         QTimer::singleShot(settings_interval, &pause, &QEventLoop::quit);
         (void)pause.exec();
@@ -231,7 +235,9 @@
     }
     if (!chosen.ok())
     {
-        fmt::print(stderr, "{}\n", std::string(chosen.status().message()));
+        // Not fmt::print, which throws if nobody reads it.
+        (void)std::fputs(
+            (std::string(chosen.status().message()) + "\n").c_str(), stderr);
         return exit_fault;
     }
     set_log_level(chosen->least_logged);
