Names: crash_log, and the times of a stop in the field's terms

last_words is crash_log; divisors of the grace are named as such; a line that was commented out says what it stood for. No change of behaviour.

--- a/src/app/commands.cpp
+++ b/src/app/commands.cpp
@@ -1,7 +1,7 @@
 // The commands that concern one VM's own process and files.
 #include "app/commands.hpp"
 
-#include "app/last_words.hpp"
+#include "app/crash_log.hpp"
 #include "app/log.hpp"
 #include "app/platform_mode.hpp"
 #include "app/server.hpp"
@@ -159,11 +159,11 @@
     auto read = chosen_settings(given);
     bool const waits =
         given.count("platform") != 0 && may_become_readable(read.status());
-    std::string told; // the reason that was logged last
+    std::string last_reason; // as logged
     while (waits && !stop && !read.ok())
     {
         std::string const reason(read.status().message());
-        if (std::exchange(told, reason) != reason)
+        if (std::exchange(last_reason, reason) != reason)
         {
             log(log_level::warning, "settings_unreadable",
                 {{"reason", reason}});
@@ -178,12 +178,12 @@
 }
 
 // Writes the held lines at each return of the command.
-struct log_end
+struct log_flusher
 {
-    log_end() = default;
-    log_end(log_end const&) = delete;
-    log_end& operator=(log_end const&) = delete;
-    ~log_end()
+    log_flusher() = default;
+    log_flusher(log_flusher const&) = delete;
+    log_flusher& operator=(log_flusher const&) = delete;
+    ~log_flusher()
     {
         flush_log();
     }
@@ -211,8 +211,8 @@
                            "--platform\n");
         return exit_usage;
     }
-    log_end const at_return;
-    speak_last_words();
+    log_flusher const at_return;
+    log_crashes();
     if (given.count("platform") != 0)
     {
         buffer_log(STDOUT_FILENO);
--- a/src/app/last_words.cpp
+++ b/src/app/crash_log.cpp
@@ -1,4 +1,4 @@
-#include "app/last_words.hpp"
+#include "app/crash_log.hpp"
 
 #include "app/log.hpp"
 
@@ -40,7 +40,7 @@
     {
         if (row.signal == signal)
         {
-            write_last_line(row.line);
+            write_crash_line(row.line);
         }
     }
     (void)raise(signal);
@@ -77,7 +77,7 @@
 
 } // namespace
 
-void speak_last_words()
+void log_crashes()
 {
     std::set_terminate(terminate);
     for (fatal_row const& row : fatal_rows)
--- a/src/app/last_words_test.cpp
+++ b/src/app/crash_log_test.cpp
@@ -1,4 +1,4 @@
-#include "app/last_words.hpp"
+#include "app/crash_log.hpp"
 #include "app/log.hpp"
 
 #include <boost/test/unit_test.hpp>
@@ -54,7 +54,7 @@
         pid_t const child = fork();
         if (child == 0)
         {
-            speak_last_words();
+            log_crashes();
             buffer_log(log_ends[1]);
             log(log_level::info, "held", {});
             (void)raise(SIGSEGV);
@@ -88,7 +88,7 @@
 
 } // namespace
 
-BOOST_AUTO_TEST_SUITE(the_last_words_of_a_process_that_crashes)
+BOOST_AUTO_TEST_SUITE(a_process_that_crashes)
 
 BOOST_FIXTURE_TEST_CASE(say_why_and_give_the_lines_that_were_held,
                         crashing_process)
--- a/src/app/log.cpp
+++ b/src/app/log.cpp
@@ -127,7 +127,7 @@
     }
 }
 
-void write_last_line(std::string_view line)
+void write_crash_line(std::string_view line)
 {
     int const descriptor =
         buffered_descriptor < 0 ? STDERR_FILENO : buffered_descriptor;
--- a/src/app/log.hpp
+++ b/src/app/log.hpp
@@ -55,7 +55,7 @@
 
 // For the process's last moment, also in a signal handler: writes `line` and
 // then the held lines as they stand, as far as their reader has room.
-void write_last_line(std::string_view line);
+void write_crash_line(std::string_view line);
 
 } // namespace amarantharch
 
--- a/src/app/server.cpp
+++ b/src/app/server.cpp
@@ -36,9 +36,9 @@
 // On the platform: a stopping VM takes connections until the balancer has
 // missed its readiness twice, a second apart.
 constexpr std::chrono::milliseconds platform_listen_grace{3'000};
-// The part of a grace, one in so many, after which it listens no more: the rest
-// is left for what was accepted last.
-constexpr int graces_per_listening = 2;
+// A stopping VM listens for at most its grace divided by this, so that time is
+// left for the requests that it accepts last.
+constexpr int listening_divisor = 2;
 // Between a VM's messages about usage; quotas err by what is admitted
 // meanwhile.
 constexpr duration platform_usage_interval = std::chrono::milliseconds(300);
@@ -268,10 +268,10 @@
     return handlers;
 }
 
-duration server::listens_for(duration grace) const
+duration server::listening_time(duration grace) const
 {
     return std::min<duration>(link_ ? platform_listen_grace : listen_grace,
-                              grace / graces_per_listening);
+                              grace / listening_divisor);
 }
 
 // ---- Starting and stopping. ----
@@ -337,7 +337,7 @@
              { return relays_.listen(address, options_.peer_port); });
 }
 
-// What drains takes no port any more.
+// Tries the ports that are held by others again, unless the VM is stopping.
 void server::bind_again()
 {
     if (drain_until_)
@@ -417,7 +417,7 @@
     }
     time_point const now = present();
     drain_until_ = now + timeout;
-    listen_until_ = now + listens_for(timeout);
+    listen_until_ = now + listening_time(timeout);
     log(log_level::info, "draining",
         {{"vm", options_.vm},
          {"timeout_ms", fmt::to_string(to_millis(timeout))},
@@ -452,11 +452,13 @@
     bool const idle = !listen_until_ && callers_.connections() == 0 &&
                       relays_.connections() == 0 && node_.requests().idle() &&
                       node_.relayed().idle();
-    // The platform kills what still runs at the end: the last answers and the
-    // log leave before, in the first half of what is kept back for them.
-    time_point const answered = *node_.requests().stop_time();
-    time_point const last = answered + (*drain_until_ - answered) / 2;
-    if (idle || present() >= last)
+    // Exits before the platform sends SIGKILL, halfway between the end of all
+    // requests and the end of the grace: the last answers and the log are
+    // written in the first half.
+    time_point const requests_end = *node_.requests().stop_time();
+    time_point const exit_time =
+        requests_end + (*drain_until_ - requests_end) / 2;
+    if (idle || present() >= exit_time)
     {
         std::exchange(done_, nullptr)();
     }
@@ -556,7 +558,7 @@
         tell(upstream_head{attempt, status, std::move(headers)});
         return;
     }
-    // at_relays_.erase(attempt); // the end of this answer is ignored
+    // The attempt leaves at_relays_ with the end of this answer.
     tell(upstream_failed{attempt, failure->run, failure->reason,
                          failure->place});
 }
--- a/src/app/server.hpp
+++ b/src/app/server.hpp
@@ -135,7 +135,7 @@
     readiness current_readiness() const;
     admin_callbacks admin_handlers();
     platform::link_handlers link_handlers();
-    duration listens_for(duration grace) const;
+    duration listening_time(duration grace) const;
     std::string status() const;
     std::string moves_as_json() const;
 
--- a/src/core/request_path.cpp
+++ b/src/core/request_path.cpp
@@ -15,10 +15,10 @@
 
 constexpr duration overload_retry_after = std::chrono::seconds(1);
 constexpr duration accepted_retry_after = std::chrono::seconds(1);
-// What is unfinished is given up so long before the process must be gone: time
-// for the answers, and at most a tenth of the grace, which belongs to requests.
+// Unfinished requests are given up so long before the grace ends, which leaves
+// time to write their answers: a part of the grace, within a maximum.
 constexpr duration stop_margin_max = std::chrono::milliseconds(500);
-constexpr int graces_per_stop_margin = 10;
+constexpr int stop_margin_divisor = 10;
 constexpr int too_many_requests = 429;
 constexpr std::uint32_t default_output_tokens = 128;
 // How long upstreams' limits are still shared with VMs that are not listed any
@@ -592,9 +592,9 @@
 void request_path::handle(time_point now, stop_requested const& what)
 {
     event_time_ = now;
-    stop_time_ = what.deadline -
-                 std::min(stop_margin_max,
-                          (what.deadline - now) / graces_per_stop_margin);
+    stop_time_ =
+        what.deadline -
+        std::min(stop_margin_max, (what.deadline - now) / stop_margin_divisor);
     ledger_.stop(now, what.deadline);
     add_timeline_entry(
         "stopping", "",
