Evacuated failure domains: nothing more is sent there until they are restored

evacuation_table keeps the state of each domain by its position in the log (era and offset). upstream_table marks the domain's upstreams: they get neither own nor relayed attempts nor load reads, and nobody waits for them. With only evacuated upstreams left, requests are refused at once. VMs repeat the states to two peers each 500 ms (last field of peer_update) and send them with the configuration. The capacity plan divides what is needed over the other domains.

--- a/src/core/capacity_plan.cpp
+++ b/src/core/capacity_plan.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace amarantharch
 {
@@ -24,6 +25,35 @@
     return count;
 }
 
+// The domains of the service that are not evacuated.
+std::size_t capacity_plan::open_domains(scaling_spec const& scaling,
+                                        upstream_table const& upstreams)
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(scaling.prices, [&](auto const& each)
+                              { return !upstreams.is_evacuated(each.first); }));
+}
+
+// Adapts a number that was planned for another number of domains: fewer domains
+// carry the load at once.
+void capacity_plan::divide_anew(time_point now, size_row& size,
+                                std::size_t domains)
+{
+    std::size_t const before = std::exchange(size.domains, domains);
+    if (before == 0 || before == domains)
+    {
+        return;
+    }
+    size.raised_at = now;
+    size.is_for_fewer = domains > before;
+    if (domains < before)
+    {
+        size.each = static_cast<std::uint32_t>(
+            std::ceil(size.each * static_cast<double>(before) /
+                      static_cast<double>(domains)));
+    }
+}
+
 // Throughput of an upstream of the service with the mean number of slots.
 double capacity_plan::tokens_per_second(upstream_table const& upstreams,
                                         std::string const& service) const
@@ -67,34 +97,45 @@
     return most;
 }
 
-// Upstreams of both kinds that are to run in each domain; 0: not known yet.
+// Upstreams of both kinds that are to run in each domain that is not evacuated;
+// 0: not known yet, or there is no such domain.
 std::uint32_t capacity_plan::plan_each(time_point now,
                                        scaling_spec const& scaling,
                                        upstream_table const& upstreams,
                                        service_demand const& demand)
 {
     size_row& size = sizes_[scaling.service];
+    std::size_t const domains = open_domains(scaling, upstreams);
+    if (domains == 0)
+    {
+        return 0;
+    }
+    divide_anew(now, size, domains);
     auto const rate = demand.rate(now, scaling.service);
     bool const listed = !upstreams.ring(scaling.service).empty();
     double needed = size.each;
     if (rate && listed)
     {
         needed = *rate / tokens_per_second(upstreams, scaling.service) /
-                 static_cast<double>(scaling.prices.size());
+                 static_cast<double>(domains);
     }
     else if (size.each == 0)
     {
-        needed = listed_each(now, scaling, upstreams, size);
+        needed = listed_each(now, scaling, upstreams, size) *
+                 static_cast<double>(scaling.prices.size()) /
+                 static_cast<double>(domains);
     }
     if (needed > size.each)
     {
         size.raised_at = now;
     }
-    bool const shrinks = needed < size.each * options_.shrink_below &&
+    double const shrink_below = size.is_for_fewer ? 1 : options_.shrink_below;
+    bool const shrinks = needed < size.each * shrink_below &&
                          now - size.raised_at >= options_.shrink_after;
     if (needed > size.each || shrinks)
     {
         size.each = static_cast<std::uint32_t>(std::ceil(needed));
+        size.is_for_fewer = false;
     }
     return size.each == 0 ? 0
                           : std::clamp(size.each, scaling.least, scaling.most);
@@ -127,6 +168,10 @@
         std::uint32_t const reclaimable_wanted = each - least_on_demand;
         for (auto const& [domain, price] : scaling.prices)
         {
+            if (upstreams.is_evacuated(domain))
+            {
+                continue;
+            }
             std::uint32_t const reclaimable =
                 serving(upstreams, scaling.service, domain, true);
             std::uint32_t const on_demand =
--- a/src/core/capacity_plan.hpp
+++ b/src/core/capacity_plan.hpp
@@ -15,6 +15,10 @@
 // reclaim then costs the time that an upstream takes to start. These
 // replacements are given up only once the reclaimable ones are back.
 //
+// The needed upstreams are divided over the domains that are not evacuated. An
+// evacuated domain gets no order, so what runs there is kept for its return.
+// Once it is restored, the others keep what they have for shrink_after.
+//
 // An order states how many are to run. It is repeated when fewer do, because
 // the platform does not restart upstreams after a reclaim.
 //
@@ -119,7 +123,10 @@
     // How many upstreams of a service are to run in each domain.
     struct size_row
     {
-        std::uint32_t each = 0; // 0: not planned yet
+        std::uint32_t each = 0;  // 0: not planned yet
+        std::size_t domains = 0; // not evacuated; 0: not known yet
+        // Planned for fewer domains than there are now.
+        bool is_for_fewer = false;
         time_point raised_at{};
         std::size_t listed = 0; // upstreams, unchanged since listed_since
         time_point listed_since{};
@@ -137,6 +144,10 @@
     static std::uint32_t serving(upstream_table const& upstreams,
                                  std::string const& service,
                                  std::string const& domain, bool reclaimable);
+    static std::size_t open_domains(scaling_spec const& scaling,
+                                    upstream_table const& upstreams);
+    static void divide_anew(time_point now, size_row& size,
+                            std::size_t domains);
 
     capacity_plan_options options_;
     std::map<order_key, row> rows_;
--- a/src/core/capacity_plan_test.cpp
+++ b/src/core/capacity_plan_test.cpp
@@ -267,6 +267,71 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(while_a_domain_is_evacuated)
+
+// Guards against orders for a domain that is evacuated, against the loss of
+// what runs there, and against too few upstreams in the other domains.
+BOOST_AUTO_TEST_CASE(divides_what_is_needed_over_the_others)
+{
+    fleet_simulation fleet;
+    fleet.run_plan(seconds(20));
+    auto const total = [&](std::string const& domain)
+    {
+        return fleet.running(domain, true) + fleet.running(domain, false);
+    };
+    std::uint32_t const each = total("patan");
+    BOOST_REQUIRE(total("asan") == each);
+    fleet.upstreams.set_evacuated("asan", true);
+    for (int second = 0; second < 20; ++second)
+    {
+        fleet.count_load();
+        for (upstream_order const& order : fleet.plan.due_orders(
+                 fleet.now, tables(), fleet.upstreams, fleet.demand))
+        {
+            BOOST_TEST(order.failure_domain == "patan");
+            fleet.apply_order(order);
+        }
+        fleet.now += seconds(1);
+    }
+    BOOST_TEST(total("asan") == each);
+    BOOST_TEST(total("patan") >= 2 * each - 1);
+    BOOST_TEST(total("patan") <= 2 * each);
+}
+
+// Guards against capacity that is given up before the restored domain serves
+// again, and against capacity that is kept for good.
+BOOST_AUTO_TEST_CASE(returns_to_the_former_numbers_some_time_after_it)
+{
+    fleet_simulation fleet;
+    fleet.run_plan(seconds(20));
+    std::uint32_t const each = fleet.plan.planned_each("pool");
+    fleet.upstreams.set_evacuated("asan", true);
+    fleet.run_plan(seconds(20));
+    std::uint32_t const alone = fleet.plan.planned_each("pool");
+    BOOST_TEST(alone > each);
+    fleet.upstreams.set_evacuated("asan", false);
+    fleet.run_plan(seconds(5));
+    BOOST_TEST(fleet.plan.planned_each("pool") == alone);
+    fleet.run_plan(seconds(15));
+    BOOST_TEST(fleet.plan.planned_each("pool") == each);
+}
+
+// Guards against orders when there is no domain to place them in.
+BOOST_AUTO_TEST_CASE(orders_nothing_if_all_are)
+{
+    fleet_simulation fleet;
+    fleet.run_plan(seconds(20));
+    fleet.upstreams.set_evacuated("asan", true);
+    fleet.upstreams.set_evacuated("patan", true);
+    fleet.now += seconds(30);
+    BOOST_TEST(
+        fleet.plan
+            .due_orders(fleet.now, tables(), fleet.upstreams, fleet.demand)
+            .empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace amarantharch
--- a/src/core/crash_fixture_test.hpp
+++ b/src/core/crash_fixture_test.hpp
@@ -47,6 +47,7 @@
     std::size_t domains = 0; // of VMs, in turn; 0: one for each VM
     bool idempotent = true;  // requests
     std::size_t upstreams = 4;
+    std::size_t upstream_domains = 1; // of upstreams, in turn
     upstream_kind kind = upstream_kind::plain;
     std::uint32_t slots = 6;
     std::uint32_t max_attempts = 2;
@@ -124,6 +125,14 @@
         run(std::chrono::seconds(5));
     }
 
+    // The failure domain of an upstream, where there are so many.
+    static std::string upstream_domain(std::string const& name,
+                                       std::size_t domains)
+    {
+        return fmt::format(
+            "zone-{}", std::stoul(name.substr(name.find('-') + 1)) % domains);
+    }
+
     time_point now() const
     {
         return now_;
@@ -415,6 +424,8 @@
         listed.upstream.address = name;
         listed.upstream.service = "desk";
         listed.upstream.kind = options_.kind;
+        listed.upstream.failure_domain =
+            upstream_domain(name, options_.upstream_domains);
         listed.upstream.capacity = options_.slots;
         listed.incarnation = row.incarnation;
         return listed;
--- a/src/core/event.hpp
+++ b/src/core/event.hpp
@@ -6,6 +6,7 @@
 #include "core/capacity_plan.hpp"
 #include "core/dialect.hpp"
 #include "core/duty_log.hpp"
+#include "core/evacuation_table.hpp"
 #include "core/log_client.hpp"
 #include "core/membership.hpp"
 #include "core/peer_message.hpp"
@@ -170,6 +171,19 @@
     bool done = false; // false: rolled back
 };
 
+// The operator evacuated a failure domain or restored it: nothing more is to be
+// sent to its upstreams until it is restored.
+struct domain_evacuated
+{
+    domain_evacuation state;
+};
+
+// This VM has read all of the operator's records before this position.
+struct operator_records_read
+{
+    operator_position up_to;
+};
+
 // This VM read the platform's streams on behalf of other VMs.
 struct streams_read
 {
@@ -226,8 +240,9 @@
     peer_message_received, members_listed, upstream_reported, upstream_noticed,
     upstream_checked, upstream_leaving_seen, routing_tables_changed,
     upstream_listed, upstream_unlisted, version_ordered, version_move_ended,
-    streams_read, duty_log_read, duty_log_gone, duty_log_failed,
-    duty_record_appended, usage_reported, order_answered, stop_requested>;
+    domain_evacuated, operator_records_read, streams_read, duty_log_read,
+    duty_log_gone, duty_log_failed, duty_record_appended, usage_reported,
+    order_answered, stop_requested>;
 
 } // namespace amarantharch
 
--- a/src/core/load_sharing.cpp
+++ b/src/core/load_sharing.cpp
@@ -16,8 +16,9 @@
         upstream_row const& row = upstreams.row(i);
         std::string const& name = row.profile.name;
         // Reads would count against a limit.
-        if (!row.present || row.leaving || row.paused_until > now ||
-            row.limit || row.profile.kind != upstream_kind::engine)
+        if (!row.present || row.leaving || row.evacuated ||
+            row.paused_until > now || row.limit ||
+            row.profile.kind != upstream_kind::engine)
         {
             next_read_.erase(name);
             continue;
--- a/src/core/outlier.cpp
+++ b/src/core/outlier.cpp
@@ -63,7 +63,7 @@
     for (auto const& point : table.ring(profile.service))
     {
         upstream_row const& row = table.row(point.upstream);
-        if (row.profile.version != profile.version)
+        if (row.profile.version != profile.version || row.evacuated)
         {
             continue;
         }
--- a/src/core/outlier.hpp
+++ b/src/core/outlier.hpp
@@ -5,8 +5,8 @@
 // `base_ejection`, doubled with each further ejection that follows within
 // `max_ejection` of the end of the last. An ejection is not done if it would
 // leave fewer than `min_active_share` of the present upstreams of the same
-// service and version able to take work. When most of them fail, the cause is
-// elsewhere, and the load would only overload the rest.
+// service and version that are not evacuated able to take work. When most of
+// them fail, the cause is elsewhere, and the load would only overload the rest.
 // Cost: O(1) a result, O(upstreams of the service) an ejection.
 #ifndef AMARANTHARCH_CORE_OUTLIER_HPP
 #define AMARANTHARCH_CORE_OUTLIER_HPP
--- a/src/core/peer_exchange.cpp
+++ b/src/core/peer_exchange.cpp
@@ -52,7 +52,12 @@
     {
         requests.moves().apply(now, update->move_states);
     }
-    relay_configuration(now, message.vm, *update);
+    // Before a configuration: with one, a VM that has just started may serve.
+    for (domain_evacuation const& row : update->evacuations)
+    {
+        requests.merge_evacuation(now, row);
+    }
+    relay_configuration(now, message.vm, *update, requests);
     merge_quotas(now, message, *update, requests);
     for (demand_report const& row : update->demand)
     {
@@ -200,7 +205,8 @@
 // Takes the part of a peer's message that is about the configuration, and
 // answers a request for this VM's.
 void peer_exchange::relay_configuration(time_point now, std::string const& from,
-                                        peer_update const& update)
+                                        peer_update const& update,
+                                        request_path const& requests)
 {
     configuration_.on_peer_version(now, from, update.configuration_version);
     if (update.wants_configuration)
@@ -210,6 +216,7 @@
         {
             peer_update answer;
             answer.configuration_pieces.push_back(std::move(piece));
+            answer.evacuations = requests.evacuations().states();
             send({from}, std::move(answer));
         }
     }
@@ -226,8 +233,9 @@
     }
 }
 
-// Repeats which requests and prompt parts are refused and which upstreams name
-// limits, for VMs that have started since.
+// Repeats which requests and prompt parts are refused, which upstreams name
+// limits and which failure domains are evacuated, for VMs that have started
+// since or that cannot read the store.
 void peer_exchange::repeat_state(time_point now, membership const& members,
                                  request_path& requests)
 {
@@ -235,8 +243,10 @@
     update.quarantined = requests.crash_quarantine().refused_state(now);
     update.quarantined_parts = requests.part_quarantine().refused_state(now);
     update.limits = requests.upstreams().limits(now);
+    update.evacuations = requests.evacuations().states();
     if (!update.quarantined.marks.empty() ||
-        !update.quarantined_parts.empty() || !update.limits.empty())
+        !update.quarantined_parts.empty() || !update.limits.empty() ||
+        !update.evacuations.empty())
     {
         send(next_peers(members, options_.repeat_fanout, next_repeat_peer_),
              update);
--- a/src/core/peer_exchange.hpp
+++ b/src/core/peer_exchange.hpp
@@ -56,8 +56,8 @@
     std::size_t max_quota_fanout = 64;
     // Between messages to those that watch over the duties, in a large fleet.
     duration counter_interval = std::chrono::seconds(1);
-    // Each VM repeats what it refuses, and the limits that upstreams name, to
-    // this many peers in turn, once in this time.
+    // Each VM repeats what it refuses, the limits that upstreams name and the
+    // evacuated failure domains to this many peers in turn, once in this time.
     duration repeat_interval = std::chrono::milliseconds(500);
     std::size_t repeat_fanout = 2;
     // A hub passes a claim of the duties on for so long after it was heard.
@@ -130,7 +130,8 @@
     std::size_t quota_fanout(std::size_t peers) const;
     void update_reader_role(membership const& members);
     void relay_configuration(time_point now, std::string const& from,
-                             peer_update const& update);
+                             peer_update const& update,
+                             request_path const& requests);
     void ask_for_configuration(time_point now);
     void repeat_state(time_point now, membership const& members,
                       request_path& requests);
--- a/src/core/peer_exchange_test.cpp
+++ b/src/core/peer_exchange_test.cpp
@@ -119,6 +119,11 @@
     return !update.demand.empty();
 }
 
+bool tells_of_evacuations(peer_update const& update)
+{
+    return !update.evacuations.empty();
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(what_vms_tell_each_other)
@@ -186,6 +191,52 @@
     BOOST_TEST(own.count(holder, has_demand) > 0u);
 }
 
+// Guards against a VM without the store that never hears of an evacuation, and
+// against messages to all peers for it.
+BOOST_AUTO_TEST_CASE(are_the_evacuations_to_two_peers_each_half_second)
+{
+    vm own(85);
+    own.requests.handle(start, domain_evacuated{{"asan", true, 0, 6}});
+    own.run(seconds(3));
+    std::size_t messages = 0;
+    std::size_t receivers = 0;
+    for (auto const& [peer, updates] : own.sent)
+    {
+        std::size_t const told = own.count(peer, tells_of_evacuations);
+        messages += told;
+        receivers += told > 0 ? 1 : 0;
+    }
+    BOOST_TEST(messages == 12u);
+    BOOST_TEST(receivers == 12u);
+}
+
+// Guards against messages about evacuations where there has been none.
+BOOST_AUTO_TEST_CASE(is_nothing_of_evacuations_without_a_record)
+{
+    vm own(85);
+    own.run(seconds(3));
+    for (auto const& [peer, updates] : own.sent)
+    {
+        BOOST_TEST(own.count(peer, tells_of_evacuations) == 0u);
+    }
+}
+
+// Guards against a VM that serves by a peer's configuration without knowing
+// what is evacuated: it is told in the same message.
+BOOST_AUTO_TEST_CASE(are_the_evacuations_with_the_configuration)
+{
+    vm own(85);
+    own.exchange.set_configuration(3, "routes");
+    own.requests.handle(start, domain_evacuated{{"asan", true, 0, 6}});
+    peer_update question;
+    question.wants_configuration = true;
+    own.receive("vm7", question);
+    BOOST_REQUIRE(own.sent["vm7"].size() == 1u);
+    peer_update const& answer = own.sent["vm7"].front();
+    BOOST_TEST(answer.configuration_pieces.size() == 1u);
+    BOOST_TEST(answer.evacuations.size() == 1u);
+}
+
 BOOST_AUTO_TEST_SUITE(with_hubs)
 
 std::size_t messages(vm const& own)
--- a/src/core/peer_update.hpp
+++ b/src/core/peer_update.hpp
@@ -9,6 +9,7 @@
 
 #include "core/admission.hpp"
 #include "core/configuration_relay.hpp"
+#include "core/evacuation_table.hpp"
 #include "core/load_sharing.hpp"
 #include "core/prompt_part_quarantine.hpp"
 #include "core/quarantine.hpp"
@@ -89,13 +90,14 @@
     std::vector<upstream_limit> limits;
     bool partitioned = false; // the sender from its upstreams
     std::vector<upstream_refusal> refusals;
+    std::vector<domain_evacuation> evacuations; // and restorations
     MSGPACK_DEFINE(usage, quarantined, leaving, handed_over, evidence,
                    quota_reports, request_counts, move_states, demand,
                    reading_reports, holds_duties, loads, leaving_upstreams,
                    relayed_quotas, cell, quota_sums, duty_holder,
                    configuration_version, wants_configuration,
                    configuration_pieces, quarantined_parts, limits, partitioned,
-                   refusals)
+                   refusals, evacuations)
 };
 
 std::string encode(peer_update const& update);
--- a/src/core/request_attempts.cpp
+++ b/src/core/request_attempts.cpp
@@ -294,6 +294,10 @@
         refuse_unreachable(now, r);
         return;
     }
+    if (!chosen && refuse_if_evacuated(now, r))
+    {
+        return;
+    }
     if (!chosen && (r.runs_alone || !reserved_.empty()))
     {
         wait_for_upstream(now, r);
--- a/src/core/request_path.cpp
+++ b/src/core/request_path.cpp
@@ -155,14 +155,16 @@
 }
 
 // The limit on requests in flight starts at the total slots of the service's
-// upstreams, times admitted_per_slot, and never exceeds it.
+// upstreams that are not evacuated, times admitted_per_slot, and never exceeds
+// it.
 admission_options request_path::admission_for(std::string const& service) const
 {
     admission_options options = options_.admission;
     std::uint32_t total_slots = 0;
     for (auto const& ring_point : upstreams_.ring(service))
     {
-        total_slots += upstreams_.row(ring_point.upstream).profile.slots;
+        upstream_row const& upstream = upstreams_.row(ring_point.upstream);
+        total_slots += upstream.evacuated ? 0 : upstream.profile.slots;
     }
     auto const slots =
         static_cast<std::uint32_t>(total_slots * options_.admitted_per_slot);
@@ -410,6 +412,10 @@
     admission_query.bytes = r.request.body.size();
     admission_query.deadline = r.deadline;
     demand_.on_admitted(now, r.route.service, admission_query.tokens);
+    if (refuse_if_evacuated(now, r))
+    {
+        return;
+    }
     admission_result const result =
         admission_of(r.route.service).offer(now, admission_query);
     for (refused_request const& given_up : result.evicted)
--- a/src/core/request_path.hpp
+++ b/src/core/request_path.hpp
@@ -29,6 +29,7 @@
 #include "core/command.hpp"
 #include "core/crash_detector.hpp"
 #include "core/dialect.hpp"
+#include "core/evacuation_table.hpp"
 #include "core/event.hpp"
 #include "core/event_relay.hpp"
 #include "core/ledger.hpp"
@@ -180,6 +181,17 @@
     // A peer has heard of an upstream's limit.
     void merge_limit(time_point now, upstream_limit const& heard);
 
+    // The operator's evacuations of failure domains, as read in the store and
+    // as told by peers. Nothing more is sent to upstreams there; running
+    // requests end where they run.
+    void handle(time_point now, domain_evacuated const& what);
+    void handle(time_point now, operator_records_read const& what);
+    void merge_evacuation(time_point now, domain_evacuation const& heard);
+    evacuation_table const& evacuations() const
+    {
+        return evacuations_;
+    }
+
     // An upstream said something about itself in an answer other than to a
     // caller's request.
     void handle(time_point now, upstream_noticed const& what);
@@ -429,6 +441,10 @@
                          std::string const& reason, retry_cause cause);
     void wait_for_upstream(time_point now, row& r);
     bool wait_for_turn(time_point now, row& r);
+    bool refuse_if_evacuated(time_point now, row& r);
+    void refuse_queued_if_evacuated(time_point now);
+    void use_evacuation(time_point now, std::string const& failure_domain,
+                        std::string_view source);
     void end_wait_for_turn(row& r);
     void hear_answer(time_point now, leaving_upstream const& from,
                      answer_metadata const& metadata);
@@ -490,6 +506,7 @@
     std::shared_ptr<routing_tables const> tables_;
     std::map<std::string, admission> admissions_; // by service
     upstream_table upstreams_;
+    evacuation_table evacuations_;
     router router_;
     retry_budget retries_;
     outlier_detector outliers_;
--- a/src/core/upstream_table.cpp
+++ b/src/core/upstream_table.cpp
@@ -54,6 +54,8 @@
         rows_[index] = upstream_row{};
         rows_[index].incarnation = incarnation;
         rows_[index].profile = std::move(profile);
+        rows_[index].evacuated =
+            is_evacuated(rows_[index].profile.failure_domain);
         restore_removed(rows_[index]);
         by_name_.emplace(rows_[index].profile.name, index);
         add_to_ring(index);
@@ -82,10 +84,50 @@
     }
     remove_from_ring(index);
     row.profile = std::move(profile);
+    row.evacuated = is_evacuated(row.profile.failure_domain);
     add_to_ring(index);
     return index;
 }
 
+void upstream_table::set_evacuated(std::string const& failure_domain,
+                                   bool is_evacuated)
+{
+    if (is_evacuated)
+    {
+        evacuated_domains_.insert(failure_domain);
+    }
+    else
+    {
+        evacuated_domains_.erase(failure_domain);
+    }
+    for (upstream_row& row : rows_)
+    {
+        if (row.profile.failure_domain == failure_domain)
+        {
+            row.evacuated = is_evacuated;
+        }
+    }
+}
+
+bool upstream_table::has_only_evacuated(std::string_view service) const
+{
+    bool any = false;
+    for (ring_point const& point : ring(service))
+    {
+        upstream_row const& row = rows_[point.upstream];
+        if (row.leaving || row.quarantined)
+        {
+            continue;
+        }
+        if (!row.evacuated)
+        {
+            return false;
+        }
+        any = true;
+    }
+    return any;
+}
+
 bool upstream_table::mark_leaving(std::string_view name,
                                   std::uint64_t incarnation)
 {
@@ -295,8 +337,8 @@
         upstream_row const& row = rows_[point.upstream];
         bool const is_excluded =
             std::ranges::find(excluded, point.upstream) != excluded.end();
-        if (!row.limit || row.leaving || row.quarantined || is_excluded ||
-            position_.vms == 0)
+        if (!row.limit || row.leaving || row.quarantined || row.evacuated ||
+            is_excluded || position_.vms == 0)
         {
             continue;
         }
@@ -322,7 +364,7 @@
     for (ring_point const& point : ring(service))
     {
         upstream_row const& row = rows_[point.upstream];
-        if (row.leaving || row.quarantined || row.limit)
+        if (row.leaving || row.quarantined || row.evacuated || row.limit)
         {
             continue;
         }
--- a/src/core/upstream_table.hpp
+++ b/src/core/upstream_table.hpp
@@ -29,6 +29,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -74,6 +75,7 @@
     bool quarantined = false;    // never cleared within an incarnation
     time_point ejected_until;    // set by outlier_detector
     time_point paused_until;     // requested by the upstream itself
+    bool evacuated = false;      // with its failure domain
     std::uint32_t in_flight = 0; // attempts of this VM
     std::optional<upstream_report> report;
     // It crashes if it turns away more requests in a second; see
@@ -89,15 +91,17 @@
     // Whether new work may be sent to it.
     bool takes_work(time_point now) const
     {
-        return present && !leaving && !quarantined && ejected_until <= now &&
-               paused_until <= now && (!limit || limit->admits(now));
+        return present && !leaving && !quarantined && !evacuated &&
+               ejected_until <= now && paused_until <= now &&
+               (!limit || limit->admits(now));
     }
 
     // Whether an attempt may be sent to it that another VM has decided on,
     // whose turn at a limit and whose ejections count.
     bool takes_relayed(time_point now) const
     {
-        return present && !leaving && !quarantined && paused_until <= now;
+        return present && !leaving && !quarantined && !evacuated &&
+               paused_until <= now;
     }
 };
 
@@ -150,6 +154,18 @@
     // A peer has heard of a limit.
     bool merge_limit(time_point now, upstream_limit const& heard);
 
+    // Sets whether a failure domain is evacuated, also for its upstreams that
+    // are put later.
+    void set_evacuated(std::string const& failure_domain, bool is_evacuated);
+    bool is_evacuated(std::string const& failure_domain) const
+    {
+        return evacuated_domains_.contains(failure_domain);
+    }
+
+    // Whether the upstreams of `service` that could take work, now or later,
+    // are all evacuated, and there is one.
+    bool has_only_evacuated(std::string_view service) const;
+
     // The limits in force, and those that ended less than limit_memory ago.
     std::vector<upstream_limit> limits(time_point now) const;
 
@@ -157,14 +173,15 @@
     void set_fleet_position(time_point now, fleet_position position);
 
     // When this VM has a turn for `service` after `others` further requests, by
-    // the limits of its upstreams that are not excluded; nothing if none of
-    // them names a limit.
+    // the limits of its upstreams that are neither evacuated nor excluded;
+    // nothing if none of them names a limit.
     std::optional<time_point>
     turn_after(time_point now, std::string_view service, std::size_t others,
                std::vector<upstream_index> const& excluded) const;
 
-    // When the first present upstream of `service` that is neither leaving nor
-    // quarantined and has no limit takes work; nothing if there is none.
+    // When the first present upstream of `service` that is neither leaving,
+    // quarantined nor evacuated and has no limit takes work; nothing if there
+    // is none.
     std::optional<time_point> next_available(std::string_view service) const;
 
     std::optional<upstream_index> find(std::string_view name) const;
@@ -225,6 +242,7 @@
     fleet_position position_;
     std::map<std::string, removed_row> removed_;
     std::deque<std::string> removed_order_; // names, the oldest first
+    std::set<std::string> evacuated_domains_;
 };
 
 } // namespace amarantharch
