Cold upstreams: turns of each VM at the rate that they can handle

A cold upstream received 20 requests in a second where 18.8 were allowed: no VM knew that it was cold, or shared its rate with the others.

The directory entry, an answer's header and the configuration tell how long an upstream stays cold and how many requests a second it handles then. warm_up_share divides time into slots that the VMs own by their place in the list, so the sum over all VMs holds without messages. A limit that the upstream names is independent; both must admit a request, and turn_after names a moment when both do. Time-outs of cold upstreams do not count for outlier detection, and their loads are not read.

--- a/src/core/crash_fixture_test.hpp
+++ b/src/core/crash_fixture_test.hpp
@@ -65,6 +65,13 @@
     {
         return header_list();
     };
+    // How long an upstream stays cold, as its entry in the directory tells.
+    std::function<duration(std::string const&)> cold_for =
+        [](std::string const&)
+    {
+        return duration::zero();
+    };
+    std::vector<warm_up_spec> warm_ups = {}; // of service "desk"
     // Requests that an upstream runs and keeps waiting; 0: any number. Beyond
     // it, it turns them away as not run.
     std::size_t room = 0;
@@ -312,6 +319,15 @@
         tell_directory(i);
     }
 
+    // All VMs read the directory's entry of an upstream.
+    void tell_entry(std::string const& name)
+    {
+        for (std::size_t i = 0; i < nodes_.size(); ++i)
+        {
+            nodes_[i]->handle(now_, entry(name, upstreams_.at(name)));
+        }
+    }
+
     // Crashes one upstream, whatever it runs.
     void crash_any()
     {
@@ -428,6 +444,7 @@
             upstream_domain(name, options_.upstream_domains);
         listed.upstream.capacity = options_.slots;
         listed.incarnation = row.incarnation;
+        listed.cold_for = options_.cold_for(name);
         return listed;
     }
 
@@ -477,6 +494,7 @@
         route.max_attempts = options_.max_attempts;
         route.idempotent = options_.idempotent;
         options.settings_tables.routes.push_back(route);
+        options.settings_tables.warm_ups = options_.warm_ups;
         return std::make_unique<node>(
             std::move(options), [this, i](command const& what)
             { std::visit([&](auto const& c) { carry_out(i, c); }, what); });
--- a/src/core/dialect.hpp
+++ b/src/core/dialect.hpp
@@ -51,13 +51,19 @@
     // It crashes if it has to turn away more requests than this in a second,
     // of all VMs together, for want of room.
     std::optional<std::uint32_t> refusal_limit = {};
+    // It stays cold for so long: see warm_up_spec.
+    std::optional<duration> cold_for = {};
 
     bool empty() const
     {
-        return !leaving && !pause && !request_limit && !refusal_limit;
+        return !leaving && !pause && !request_limit && !refusal_limit &&
+               !cold_for;
     }
 };
 
+// Longest time that an upstream can say it stays cold.
+inline constexpr duration max_cold_time = std::chrono::minutes(10);
+
 // Longest pause that an upstream can ask for.
 inline constexpr duration max_upstream_pause = std::chrono::minutes(10);
 
--- a/src/core/event.hpp
+++ b/src/core/event.hpp
@@ -146,6 +146,7 @@
     upstream_spec upstream;
     std::uint64_t incarnation = 0; // increases with each process start
     bool leaving = false;
+    duration cold_for{}; // how much longer it stays cold; 0: it is not
 };
 
 // The upstream was removed from the platform's directory.
--- a/src/core/load_sharing.cpp
+++ b/src/core/load_sharing.cpp
@@ -15,9 +15,9 @@
     {
         upstream_row const& row = upstreams.row(i);
         std::string const& name = row.profile.name;
-        // Reads would count against a limit.
+        // Reads would count against a limit, and cold upstreams are slow.
         if (!row.present || row.leaving || row.evacuated ||
-            row.paused_until > now || row.limit ||
+            row.paused_until > now || row.limit || row.warms_up(now) ||
             row.profile.kind != upstream_kind::engine)
         {
             next_read_.erase(name);
--- a/src/core/outlier.cpp
+++ b/src/core/outlier.cpp
@@ -69,7 +69,7 @@
         }
         ++present;
         bool const other = point.upstream != upstream;
-        others += other && row.takes_work(now) ? 1 : 0;
+        others += other && row.is_open(now) ? 1 : 0;
     }
     return static_cast<double>(others) >=
            options_.min_active_share * static_cast<double>(present);
--- a/src/core/request_attempts.cpp
+++ b/src/core/request_attempts.cpp
@@ -694,7 +694,9 @@
     bool const declined =
         run == verdict::not_run &&
         (reason == upstream_error || reason == upstream_unavailable);
-    if (!declined && !of_links) // an overloaded upstream is not faulty
+    bool const is_cold = upstreams_.row(r.upstream).warms_up(now);
+    // Neither an overloaded upstream nor a cold one that is slow is faulty.
+    if (!declined && !of_links && !(is_cold && is_only_slow(reason)))
     {
         outliers_.on_result(now, r.upstream, false, upstreams_);
     }
--- a/src/core/request_limits.cpp
+++ b/src/core/request_limits.cpp
@@ -1,9 +1,11 @@
 // The part of request_path that heeds what upstreams say of themselves: that
-// they leave, want a pause, name a limit or are brittle.
+// they leave, want a pause, name a limit, are brittle or cold.
 #include "core/request_path.hpp"
 
 #include <fmt/format.h>
 
+#include <algorithm>
+#include <map>
 #include <utility>
 
 namespace amarantharch
@@ -20,6 +22,10 @@
 constexpr double brittle_load = 0.85;
 // How long a request holds a slot of a service that has answered none.
 constexpr duration unknown_hold = std::chrono::seconds(1);
+// Failures that show no more than that an answer did not come in time.
+constexpr std::string_view slow_reasons[] = {"connect_timeout", "head_timeout",
+                                             "piece_timeout", "answer_timeout",
+                                             "timeout"};
 
 } // namespace
 
@@ -168,6 +174,10 @@
             fmt::format("upstream={} incarnation={} source=answer",
                         from.upstream, from.incarnation));
     }
+    if (notice.cold_for)
+    {
+        hear_cold(now, from, *notice.cold_for, "answer");
+    }
     if (notice.pause &&
         upstreams_.pause(from.upstream, from.incarnation, now + *notice.pause))
     {
@@ -178,6 +188,78 @@
     }
 }
 
+bool request_path::is_only_slow(std::string_view reason)
+{
+    return std::ranges::find(slow_reasons, reason) != std::end(slow_reasons);
+}
+
+// Puts the tables' rates for cold upstreams in force.
+void request_path::set_warm_ups(time_point now)
+{
+    std::map<std::string, double, std::less<>> rates;
+    for (warm_up_spec const& spec : tables_->warm_ups)
+    {
+        if (spec.per_second > 0)
+        {
+            rates[spec.service] = spec.per_second;
+        }
+    }
+    upstreams_.set_warm_up_rates(now, std::move(rates));
+    for (upstream_index i = 0; i < upstreams_.size(); ++i)
+    {
+        if (!logged_cold_.contains(upstreams_.row(i).profile.name))
+        {
+            log_cold(now, i, "configuration");
+        }
+    }
+}
+
+void request_path::hear_cold(time_point now, leaving_upstream const& from,
+                             duration cold_for, std::string_view source)
+{
+    if (upstreams_.hear_cold(now, from.upstream, from.incarnation,
+                             std::min(cold_for, max_cold_time)))
+    {
+        log_cold(now, *upstreams_.find(from.upstream), source);
+    }
+}
+
+// A cold upstream of a service without a rate is used like any other.
+void request_path::log_cold(time_point now, upstream_index upstream,
+                            std::string_view source)
+{
+    upstream_row const& cold = upstreams_.row(upstream);
+    if (!cold.present || !cold.warms_up(now))
+    {
+        return;
+    }
+    logged_cold_.insert(cold.profile.name);
+    add_timeline_entry(
+        "upstream_cold", "",
+        fmt::format("upstream={} incarnation={} source={} remaining_ms={} "
+                    "per_second={} vms={} interval_ms={}",
+                    cold.profile.name, cold.incarnation, source,
+                    to_millis(cold.cold_until - now),
+                    cold.warm_up->per_second(), used_position_.vms,
+                    to_millis(cold.warm_up->interval())));
+}
+
+void request_path::log_warm_upstreams(time_point now)
+{
+    std::erase_if(
+        logged_cold_,
+        [&](std::string const& name)
+        {
+            auto const index = upstreams_.find(name);
+            bool const is_cold = index && upstreams_.row(*index).warms_up(now);
+            if (index && !is_cold)
+            {
+                add_timeline_entry("upstream_warm", "", "upstream=" + name);
+            }
+            return !is_cold;
+        });
+}
+
 void request_path::record_hold(row const& r, duration held)
 {
     constexpr int weight = 8; // of what is known
--- a/src/core/request_path.cpp
+++ b/src/core/request_path.cpp
@@ -103,6 +103,7 @@
         }
     }
     tables_ = std::move(tables);
+    set_warm_ups(now);
     for (organisation_spec const& organisation : tables_->organisations)
     {
         quotas_.configure(now, organisation.name, organisation.quota);
@@ -656,6 +657,7 @@
         reach_.on_upstream_reset(*known);
     }
     upstreams_.put(profile_of(what.upstream, options_), what.incarnation);
+    hear_cold(now, {name, what.incarnation}, what.cold_for, "directory");
     if (what.leaving)
     {
         upstreams_.mark_leaving(name, what.incarnation);
@@ -768,6 +770,7 @@
     part_quarantine_.tick(now);
     demand_.tick(now);
     watch_connections(now);
+    log_warm_upstreams(now);
     if (listed_position_ != used_position_ && now >= shrink_due_)
     {
         use_fleet_position(now, listed_position_);
--- a/src/core/request_path.hpp
+++ b/src/core/request_path.hpp
@@ -54,6 +54,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -489,7 +490,14 @@
     void forget_upstream(std::string const& name);
     void heed_notice(time_point now, leaving_upstream const& from,
                      upstream_notice const& notice);
+    void hear_cold(time_point now, leaving_upstream const& from,
+                   duration cold_for, std::string_view source);
+    void log_cold(time_point now, upstream_index upstream,
+                  std::string_view source);
+    void log_warm_upstreams(time_point now);
+    void set_warm_ups(time_point now);
     duration retry_after_of(time_point now, std::string const& service) const;
+    static bool is_only_slow(std::string_view reason);
     admission_options admission_for(std::string const& service) const;
     admission& admission_of(std::string const& service);
     void refresh_limit(std::string const& service);
@@ -549,6 +557,8 @@
     // How long answered attempts took, by service; a moving average.
     std::map<std::string, duration> mean_holds_;
     std::map<std::string, upstream_report> answer_loads_;
+    // Upstreams that were logged as cold and not yet as warm.
+    std::set<std::string> logged_cold_;
     // Requests that wait for a turn, by service.
     std::map<std::string, std::size_t> waiting_for_turn_;
     fleet_position listed_position_;
--- a/src/core/routing.cpp
+++ b/src/core/routing.cpp
@@ -343,10 +343,7 @@
         cache_.predicted_blocks(picked.upstream, request.prefix) *
         tokens_per_block);
     ++row.in_flight;
-    if (row.limit)
-    {
-        row.limit->on_sent(now);
-    }
+    table.use_turns(now, picked.upstream);
     sent_work& own = work_at(picked.upstream);
     own.awaiting_tokens += uncached;
     add_change(own, {now, uncached, 1});
--- a/src/core/site.hpp
+++ b/src/core/site.hpp
@@ -112,6 +112,15 @@
     std::map<std::string, double> prices; // by failure domain
 };
 
+// How upstreams of a service start: for `time` after a start or another cause
+// they are cold, and handle only so many requests a second.
+struct warm_up_spec
+{
+    std::string service;
+    duration time{};
+    double per_second = 0; // of all VMs together; greater than 0
+};
+
 struct routing_tables
 {
     bool known = true; // false until a configuration has been loaded
@@ -121,6 +130,7 @@
     std::vector<organisation_spec> organisations;
     std::vector<upstream_spec> upstreams;
     std::vector<scaling_spec> scalings = {};
+    std::vector<warm_up_spec> warm_ups = {};
 };
 
 // The route for `host` with the longest prefix of `target`, or null. Linear in
--- a/src/core/upstream_directory.cpp
+++ b/src/core/upstream_directory.cpp
@@ -9,6 +9,16 @@
 namespace
 {
 
+// Whether two entries differ in whether the upstream is cold, or `later` says
+// that it has become cold anew: the remaining time only falls otherwise.
+bool differs_in_cold(upstream_listed const& later,
+                     upstream_listed const& earlier)
+{
+    return later.cold_for > earlier.cold_for ||
+           (later.cold_for == duration::zero()) !=
+               (earlier.cold_for == duration::zero());
+}
+
 bool has_same_content(upstream_listed const& a, upstream_listed const& b)
 {
     return a.incarnation == b.incarnation && a.leaving == b.leaving &&
@@ -40,7 +50,8 @@
     {
         return false;
     }
-    bool const changed = !has_same_content(entry, known.entry);
+    bool const changed = !has_same_content(entry, known.entry) ||
+                         differs_in_cold(entry, known.entry);
     digest_ ^= digest_of(known.entry) ^ digest_of(entry);
     known = {entry, sequence};
     return changed;
@@ -61,9 +72,10 @@
 {
     upstream_spec const& upstream = entry.upstream;
     std::string const text = fmt::format(
-        "{} {} {} {} {} {} {} {} {}", upstream.name, entry.incarnation,
-        entry.leaving, upstream.address, upstream.service, upstream.version,
-        upstream.failure_domain, upstream.capacity, upstream.reclaimable);
+        "{} {} {} {} {} {} {} {} {} {}", upstream.name, entry.incarnation,
+        entry.leaving, entry.cold_for > duration::zero(), upstream.address,
+        upstream.service, upstream.version, upstream.failure_domain,
+        upstream.capacity, upstream.reclaimable);
     return XXH3_64bits(text.data(), text.size());
 }
 
--- a/src/core/upstream_directory.hpp
+++ b/src/core/upstream_directory.hpp
@@ -1,5 +1,6 @@
 // Keeps the latest entry that each upstream has published about itself, and
-// detects which entries change anything.
+// detects which entries change anything. That an upstream turns cold or warm is
+// a change, and that it turns cold anew; that its remaining time falls is none.
 //
 // Of one upstream, the entry with the greatest (incarnation, sequence) is the
 // newest; an older one that arrives late is dropped. An upstream that is
--- a/src/core/upstream_table.cpp
+++ b/src/core/upstream_table.cpp
@@ -26,6 +26,50 @@
     return XXH3_64bits(name.data(), name.size());
 }
 
+// A cold time that ends later by less than this is the same one, told again.
+constexpr duration cold_tolerance = std::chrono::seconds(1);
+// Attempts to find a turn that is open by a limit and while an upstream is
+// cold.
+constexpr int max_turn_steps = 64;
+
+// The begin of a turn at an upstream, by its limit and while it is cold. Both
+// turns must be open at the same time; if no such moment is found soon, the
+// result is too early.
+time_point next_turn_of(time_point now, upstream_row const& row)
+{
+    time_point at = std::max({now, row.ejected_until, row.paused_until});
+    for (int step = 0; step < max_turn_steps; ++step)
+    {
+        time_point const by_limit = row.limit ? row.limit->next_turn(at) : at;
+        time_point const by_warm_up =
+            row.warms_up(at) ? std::min(row.warm_up->next_turn(at),
+                                        std::max(row.cold_until, at))
+                             : at;
+        time_point const both = std::max(by_limit, by_warm_up);
+        if (both <= at)
+        {
+            return at;
+        }
+        at = both;
+    }
+    return at;
+}
+
+// The turns a second of this VM at an upstream that names a limit or is cold.
+double turns_per_second_of(time_point now, upstream_row const& row)
+{
+    duration interval{};
+    if (row.limit)
+    {
+        interval = row.limit->interval();
+    }
+    if (row.warms_up(now))
+    {
+        interval = std::max(interval, row.warm_up->interval());
+    }
+    return 1 / std::chrono::duration<double>(interval).count();
+}
+
 // Whether a row has the limit that is named.
 bool has_limit(upstream_row const& row, std::optional<double> per_second)
 {
@@ -81,6 +125,8 @@
             row.limit_since = time_point();
         }
         row.limit_heard_at = time_point();
+        row.cold_until = time_point();
+        row.warm_up.reset();
     }
     remove_from_ring(index);
     row.profile = std::move(profile);
@@ -287,6 +333,70 @@
     }
 }
 
+void upstream_table::set_warm_up_rates(
+    time_point now, std::map<std::string, double, std::less<>> rates)
+{
+    warm_up_rates_ = std::move(rates);
+    for (upstream_row& row : rows_)
+    {
+        set_warm_up(now, row);
+    }
+}
+
+// Gives a cold upstream its turns, unless it has them already.
+void upstream_table::set_warm_up(time_point now, upstream_row& row)
+{
+    auto const rate = warm_up_rates_.find(row.profile.service);
+    if (rate == warm_up_rates_.end() || row.cold_until <= now)
+    {
+        row.warm_up.reset();
+        return;
+    }
+    if (!row.warm_up ||
+        row.warm_up->per_second() != std::max(rate->second, min_warm_up_rate))
+    {
+        row.warm_up.emplace(now, hash_of(row.profile.name), rate->second,
+                            position_, position_since_);
+    }
+}
+
+bool upstream_table::hear_cold(time_point now, std::string_view name,
+                               std::uint64_t incarnation, duration cold_for)
+{
+    upstream_row* const row = find_row(name, incarnation);
+    if (row == nullptr)
+    {
+        return false;
+    }
+    time_point const until = now + cold_for;
+    bool const is_news =
+        cold_for > duration::zero() &&
+        (row->cold_until <= now || until - row->cold_until > cold_tolerance);
+    row->cold_until = std::max(row->cold_until, until);
+    set_warm_up(now, *row);
+    return is_news;
+}
+
+std::size_t upstream_table::warming_up(time_point now) const
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(rows_, [now](upstream_row const& row)
+                              { return row.present && row.warms_up(now); }));
+}
+
+void upstream_table::use_turns(time_point now, upstream_index index)
+{
+    upstream_row& row = rows_[index];
+    if (row.limit)
+    {
+        row.limit->on_sent(now);
+    }
+    if (row.warms_up(now))
+    {
+        row.warm_up->on_sent(now);
+    }
+}
+
 std::vector<upstream_limit> upstream_table::limits(time_point now) const
 {
     std::vector<upstream_limit> result;
@@ -308,6 +418,7 @@
 
 void upstream_table::set_fleet_position(time_point now, fleet_position position)
 {
+    position_since_ = position == position_ ? position_since_ : now;
     position_ = position;
     for (upstream_row& row : rows_)
     {
@@ -315,6 +426,10 @@
         {
             row.limit->set_position(now, position);
         }
+        if (row.warm_up)
+        {
+            row.warm_up->set_position(now, position);
+        }
     }
     for (auto& [name, removed] : removed_)
     {
@@ -337,16 +452,18 @@
         upstream_row const& row = rows_[point.upstream];
         bool const is_excluded =
             std::ranges::find(excluded, point.upstream) != excluded.end();
-        if (!row.limit || row.leaving || row.quarantined || row.evacuated ||
-            is_excluded || position_.vms == 0)
+        if ((!row.limit && !row.warms_up(now)) || row.leaving ||
+            row.quarantined || row.evacuated || is_excluded ||
+            position_.vms == 0)
         {
             continue;
         }
-        time_point const turn = std::max(
-            {row.limit->next_turn(now), row.ejected_until, row.paused_until});
+        time_point const turn =
+            row.warms_up(now) ? next_turn_of(now, row)
+                              : std::max({row.limit->next_turn(now),
+                                          row.ejected_until, row.paused_until});
         first = std::min(first.value_or(turn), turn);
-        turns_per_second +=
-            1 / std::chrono::duration<double>(row.limit->interval()).count();
+        turns_per_second += turns_per_second_of(now, row);
     }
     if (first)
     {
@@ -368,7 +485,9 @@
         {
             continue;
         }
-        time_point const at = std::max(row.ejected_until, row.paused_until);
+        time_point const at =
+            std::max({row.ejected_until, row.paused_until,
+                      row.warm_up ? row.cold_until : time_point()});
         earliest = std::min(earliest.value_or(at), at);
     }
     return earliest;
@@ -380,7 +499,7 @@
         row.profile.name,
         removed_row{row.incarnation, row.leaving, row.quarantined,
                     row.paused_until, row.limit, row.limit_since,
-                    row.limit_heard_at});
+                    row.limit_heard_at, row.cold_until});
     if (added)
     {
         removed_order_.push_back(row.profile.name);
@@ -407,6 +526,7 @@
     row.limit = known->second.limit;
     row.limit_since = known->second.limit_since;
     row.limit_heard_at = known->second.limit_heard_at;
+    row.cold_until = known->second.cold_until;
 }
 
 std::optional<upstream_index> upstream_table::find(std::string_view name) const
--- a/src/core/upstream_table.hpp
+++ b/src/core/upstream_table.hpp
@@ -14,13 +14,19 @@
 // before what peers heard earlier. Like the flags, a limit holds for one
 // incarnation.
 //
-// Cost: lookup by name is O(log upstreams); a row takes about 400 bytes.
+// An upstream is cold for a time that it tells. The latest end that was told
+// counts, within an incarnation. Where its service has a rate for cold
+// upstreams, this VM sends to it only in its turns (see warm_up_share), beside
+// any limit that the upstream names: both must admit a request.
+//
+// Cost: lookup by name is O(log upstreams); a row takes about 500 bytes.
 #ifndef AMARANTHARCH_CORE_UPSTREAM_TABLE_HPP
 #define AMARANTHARCH_CORE_UPSTREAM_TABLE_HPP
 
 #include "core/limit_share.hpp"
 #include "core/site.hpp"
 #include "core/time.hpp"
+#include "core/warm_up_share.hpp"
 
 #include <msgpack.hpp>
 
@@ -87,9 +93,24 @@
     // Until then the VMs keep to `limit` though the upstream names none.
     time_point limit_imposed_until;
     time_point limit_heard_at; // the last answer that told this VM
+    time_point cold_until;
+    // While it is cold; empty where its service has no rate for this.
+    std::optional<warm_up_share> warm_up;
+
+    // Whether it is cold and gets requests in turns only.
+    bool warms_up(time_point now) const
+    {
+        return warm_up && now < cold_until;
+    }
 
     // Whether new work may be sent to it.
     bool takes_work(time_point now) const
+    {
+        return is_open(now) && (!warms_up(now) || warm_up->admits(now));
+    }
+
+    // Whether it takes new work, if need be in turns while it is cold.
+    bool is_open(time_point now) const
     {
         return present && !leaving && !quarantined && !evacuated &&
                ejected_until <= now && paused_until <= now &&
@@ -151,6 +172,22 @@
                       std::uint64_t incarnation, double per_second,
                       time_point from, time_point until);
 
+    // Sets the requests a second, of all VMs, that cold upstreams handle, by
+    // service.
+    void set_warm_up_rates(time_point now,
+                           std::map<std::string, double, std::less<>> rates);
+
+    // An upstream has told that it stays cold for this time from now on.
+    // Returns whether this is news: it turned cold, or cold anew.
+    bool hear_cold(time_point now, std::string_view name,
+                   std::uint64_t incarnation, duration cold_for);
+
+    // How many upstreams get requests in turns because they are cold.
+    std::size_t warming_up(time_point now) const;
+
+    // A request is sent to it: uses up the turns that it needs.
+    void use_turns(time_point now, upstream_index index);
+
     // A peer has heard of a limit.
     bool merge_limit(time_point now, upstream_limit const& heard);
 
@@ -172,16 +209,17 @@
     // This VM's place among those that share the limits.
     void set_fleet_position(time_point now, fleet_position position);
 
-    // When this VM has a turn for `service` after `others` further requests, by
-    // the limits of its upstreams that are neither evacuated nor excluded;
-    // nothing if none of them names a limit.
+    // When this VM has a turn for `service` after `others` further requests, at
+    // its upstreams that are neither evacuated nor excluded and that name a
+    // limit or are cold; nothing if there is none. Of one that names a limit
+    // and is cold, a turn by both.
     std::optional<time_point>
     turn_after(time_point now, std::string_view service, std::size_t others,
                std::vector<upstream_index> const& excluded) const;
 
     // When the first present upstream of `service` that is neither leaving,
-    // quarantined nor evacuated and has no limit takes work; nothing if there
-    // is none.
+    // quarantined nor evacuated and has no limit takes work without turns;
+    // nothing if there is none.
     std::optional<time_point> next_available(std::string_view service) const;
 
     std::optional<upstream_index> find(std::string_view name) const;
@@ -222,10 +260,12 @@
         std::optional<limit_share> limit;
         time_point limit_since;
         time_point limit_heard_at;
+        time_point cold_until;
     };
 
     void set_limit(time_point now, time_point since, upstream_row& row,
                    std::optional<double> per_second);
+    void set_warm_up(time_point now, upstream_row& row);
     void remember_removed(upstream_row const& row);
     void restore_removed(upstream_row& row);
     upstream_row* find_row(std::string_view name, std::uint64_t incarnation);
@@ -240,6 +280,8 @@
     // is in hash order.
     std::map<std::string, std::vector<ring_point>, std::less<>> rings_;
     fleet_position position_;
+    time_point position_since_; // this VM has known it
+    std::map<std::string, double, std::less<>> warm_up_rates_; // by service
     std::map<std::string, removed_row> removed_;
     std::deque<std::string> removed_order_; // names, the oldest first
     std::set<std::string> evacuated_domains_;
