Operations, guarantees, metrics: cold upstreams and evacuated domains

Two gauges state how many upstreams get requests in turns because they are cold and how many failure domains are evacuated.

--- a/src/app/metrics.cpp
+++ b/src/app/metrics.cpp
@@ -40,6 +40,10 @@
     {gauge_name::control_memory_bytes, "control_memory_bytes",
      "Memory of the state that is shared or read from the log."},
     {gauge_name::ready, "ready", "1 if this VM takes new requests, else 0."},
+    {gauge_name::cold_upstreams, "cold_upstreams",
+     "Upstreams that get requests in turns because they are cold."},
+    {gauge_name::evacuated_domains, "evacuated_domains",
+     "Failure domains that the operator has evacuated."},
 };
 
 constexpr series_row<counter_name> counters[] = {
--- a/src/app/metrics.hpp
+++ b/src/app/metrics.hpp
@@ -27,6 +27,8 @@
     configuration_revision,
     control_memory_bytes,
     ready, // 1 or 0
+    cold_upstreams,
+    evacuated_domains,
 };
 
 // What is counted and carries no label.
--- a/src/app/server.cpp
+++ b/src/app/server.cpp
@@ -929,6 +929,12 @@
             static_cast<double>(node_.control().members().fleet_size()));
         metrics_.set(gauge_name::log_reachable,
                      node_.control().log().reachable() ? 1 : 0);
+        metrics_.set(gauge_name::cold_upstreams,
+                     static_cast<double>(
+                         node_.requests().upstreams().warming_up(present())));
+        metrics_.set(gauge_name::evacuated_domains,
+                     static_cast<double>(
+                         node_.requests().evacuations().evacuated_count()));
         return metrics_.text();
     };
     handlers.configuration = [this]
