--- a/src/core/evacuation_table.hpp
+++ b/src/core/evacuation_table.hpp
@@ -35,6 +35,7 @@
     std::uint64_t era = 0;
     std::uint64_t offset = 0;
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): false alarm on its rewritten uses
     auto operator<=>(operator_position const&) const = default;
 };
 
