--- a/src/core/cold_upstream_test.cpp
+++ b/src/core/cold_upstream_test.cpp
@@ -253,6 +253,7 @@
             ++counts[each.upstream];
         }
         std::vector<std::string> names;
+        names.reserve(counts.size());
         for (auto const& [name, count] : counts)
         {
             names.push_back(name);
