--- a/src/core/crash_fixture_test.hpp
+++ b/src/core/crash_fixture_test.hpp
@@ -47,6 +47,7 @@
     std::size_t domains = 0; // of VMs, in turn; 0: one for each VM
     bool idempotent = true;  // requests
     std::size_t upstreams = 4;
+    std::size_t upstream_domains = 1; // of upstreams, in turn
     upstream_kind kind = upstream_kind::plain;
     std::uint32_t slots = 6;
     std::uint32_t max_attempts = 2;
@@ -64,6 +65,13 @@
     {
         return header_list();
     };
+    // How long an upstream stays cold, as its entry in the directory tells.
+    std::function<duration(std::string const&)> cold_for =
+        [](std::string const&)
+    {
+        return duration::zero();
+    };
+    std::vector<warm_up_spec> warm_ups = {}; // of service "desk"
     // Requests that an upstream runs and keeps waiting; 0: any number. Beyond
     // it, it turns them away as not run.
     std::size_t room = 0;
@@ -124,6 +132,14 @@
         run(std::chrono::seconds(5));
     }
 
+    // The failure domain of an upstream, where there are so many.
+    static std::string upstream_domain(std::string const& name,
+                                       std::size_t domains)
+    {
+        return fmt::format(
+            "zone-{}", std::stoul(name.substr(name.find('-') + 1)) % domains);
+    }
+
     time_point now() const
     {
         return now_;
@@ -303,6 +319,15 @@
         tell_directory(i);
     }
 
+    // All VMs read the directory's entry of an upstream.
+    void tell_entry(std::string const& name)
+    {
+        for (std::size_t i = 0; i < nodes_.size(); ++i)
+        {
+            nodes_[i]->handle(now_, entry(name, upstreams_.at(name)));
+        }
+    }
+
     // Crashes one upstream, whatever it runs.
     void crash_any()
     {
@@ -415,8 +440,11 @@
         listed.upstream.address = name;
         listed.upstream.service = "desk";
         listed.upstream.kind = options_.kind;
+        listed.upstream.failure_domain =
+            upstream_domain(name, options_.upstream_domains);
         listed.upstream.capacity = options_.slots;
         listed.incarnation = row.incarnation;
+        listed.cold_for = options_.cold_for(name);
         return listed;
     }
 
@@ -466,6 +494,7 @@
         route.max_attempts = options_.max_attempts;
         route.idempotent = options_.idempotent;
         options.settings_tables.routes.push_back(route);
+        options.settings_tables.warm_ups = options_.warm_ups;
         return std::make_unique<node>(
             std::move(options), [this, i](command const& what)
             { std::visit([&](auto const& c) { carry_out(i, c); }, what); });
--- a/src/core/outlier.cpp
+++ b/src/core/outlier.cpp
@@ -63,13 +63,13 @@
     for (auto const& point : table.ring(profile.service))
     {
         upstream_row const& row = table.row(point.upstream);
-        if (row.profile.version != profile.version)
+        if (row.profile.version != profile.version || row.evacuated)
         {
             continue;
         }
         ++present;
         bool const other = point.upstream != upstream;
-        others += other && row.takes_work(now) ? 1 : 0;
+        others += other && row.is_open(now) ? 1 : 0;
     }
     return static_cast<double>(others) >=
            options_.min_active_share * static_cast<double>(present);
--- a/src/core/request_path.cpp
+++ b/src/core/request_path.cpp
@@ -103,6 +103,7 @@
         }
     }
     tables_ = std::move(tables);
+    set_warm_ups(now);
     for (organisation_spec const& organisation : tables_->organisations)
     {
         quotas_.configure(now, organisation.name, organisation.quota);
@@ -155,14 +156,16 @@
 }
 
 // The limit on requests in flight starts at the total slots of the service's
-// upstreams, times admitted_per_slot, and never exceeds it.
+// upstreams that are not evacuated, times admitted_per_slot, and never exceeds
+// it.
 admission_options request_path::admission_for(std::string const& service) const
 {
     admission_options options = options_.admission;
     std::uint32_t total_slots = 0;
     for (auto const& ring_point : upstreams_.ring(service))
     {
-        total_slots += upstreams_.row(ring_point.upstream).profile.slots;
+        upstream_row const& upstream = upstreams_.row(ring_point.upstream);
+        total_slots += upstream.evacuated ? 0 : upstream.profile.slots;
     }
     auto const slots =
         static_cast<std::uint32_t>(total_slots * options_.admitted_per_slot);
@@ -410,6 +413,10 @@
     admission_query.bytes = r.request.body.size();
     admission_query.deadline = r.deadline;
     demand_.on_admitted(now, r.route.service, admission_query.tokens);
+    if (refuse_if_evacuated(now, r))
+    {
+        return;
+    }
     admission_result const result =
         admission_of(r.route.service).offer(now, admission_query);
     for (refused_request const& given_up : result.evicted)
@@ -650,6 +657,7 @@
         reach_.on_upstream_reset(*known);
     }
     upstreams_.put(profile_of(what.upstream, options_), what.incarnation);
+    hear_cold(now, {name, what.incarnation}, what.cold_for, "directory");
     if (what.leaving)
     {
         upstreams_.mark_leaving(name, what.incarnation);
@@ -762,6 +770,7 @@
     part_quarantine_.tick(now);
     demand_.tick(now);
     watch_connections(now);
+    log_warm_upstreams(now);
     if (listed_position_ != used_position_ && now >= shrink_due_)
     {
         use_fleet_position(now, listed_position_);
--- a/src/core/request_path.hpp
+++ b/src/core/request_path.hpp
@@ -29,6 +29,7 @@
 #include "core/command.hpp"
 #include "core/crash_detector.hpp"
 #include "core/dialect.hpp"
+#include "core/evacuation_table.hpp"
 #include "core/event.hpp"
 #include "core/event_relay.hpp"
 #include "core/ledger.hpp"
@@ -53,6 +54,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -180,6 +182,17 @@
     // A peer has heard of an upstream's limit.
     void merge_limit(time_point now, upstream_limit const& heard);
 
+    // The operator's evacuations of failure domains, as read in the store and
+    // as told by peers. Nothing more is sent to upstreams there; running
+    // requests end where they run.
+    void handle(time_point now, domain_evacuated const& what);
+    void handle(time_point now, operator_records_read const& what);
+    void merge_evacuation(time_point now, domain_evacuation const& heard);
+    evacuation_table const& evacuations() const
+    {
+        return evacuations_;
+    }
+
     // An upstream said something about itself in an answer other than to a
     // caller's request.
     void handle(time_point now, upstream_noticed const& what);
@@ -429,6 +442,10 @@
                          std::string const& reason, retry_cause cause);
     void wait_for_upstream(time_point now, row& r);
     bool wait_for_turn(time_point now, row& r);
+    bool refuse_if_evacuated(time_point now, row& r);
+    void refuse_queued_if_evacuated(time_point now);
+    void use_evacuation(time_point now, std::string const& failure_domain,
+                        std::string_view source);
     void end_wait_for_turn(row& r);
     void hear_answer(time_point now, leaving_upstream const& from,
                      answer_metadata const& metadata);
@@ -473,7 +490,14 @@
     void forget_upstream(std::string const& name);
     void heed_notice(time_point now, leaving_upstream const& from,
                      upstream_notice const& notice);
+    void hear_cold(time_point now, leaving_upstream const& from,
+                   duration cold_for, std::string_view source);
+    void log_cold(time_point now, upstream_index upstream,
+                  std::string_view source);
+    void log_warm_upstreams(time_point now);
+    void set_warm_ups(time_point now);
     duration retry_after_of(time_point now, std::string const& service) const;
+    static bool is_only_slow(std::string_view reason);
     admission_options admission_for(std::string const& service) const;
     admission& admission_of(std::string const& service);
     void refresh_limit(std::string const& service);
@@ -490,6 +514,7 @@
     std::shared_ptr<routing_tables const> tables_;
     std::map<std::string, admission> admissions_; // by service
     upstream_table upstreams_;
+    evacuation_table evacuations_;
     router router_;
     retry_budget retries_;
     outlier_detector outliers_;
@@ -532,6 +557,8 @@
     // How long answered attempts took, by service; a moving average.
     std::map<std::string, duration> mean_holds_;
     std::map<std::string, upstream_report> answer_loads_;
+    // Upstreams that were logged as cold and not yet as warm.
+    std::set<std::string> logged_cold_;
     // Requests that wait for a turn, by service.
     std::map<std::string, std::size_t> waiting_for_turn_;
     fleet_position listed_position_;
