Loads with a fourth figure: the work time that an upstream states

A Server-Load of four figures counted as no load, so the load of the upstreams that state their work time was known from polls alone. The load now has three or four figures, and the fourth is the work time in percent.

--- a/src/core/dialect.hpp
+++ b/src/core/dialect.hpp
@@ -39,6 +39,8 @@
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
     std::uint32_t slots = 0;
+    // The current work time, in percent of the usual time.
+    std::optional<std::uint32_t> work_percent = {};
 };
 
 // What an upstream says about itself in an answer, whatever the request.
