--- a/src/core/upstream_table.cpp
+++ b/src/core/upstream_table.cpp
@@ -73,6 +73,7 @@
         row.ejected_until = time_point();
         row.paused_until = time_point();
         row.report.reset();
+        row.memory.reset();
         if (row.limit_imposed_until == time_point())
         {
             row.limit.reset();
--- a/src/core/upstream_table.hpp
+++ b/src/core/upstream_table.hpp
@@ -56,6 +56,23 @@
     std::uint32_t cache_blocks = 4'096; // blocks of its prefix cache
 };
 
+// The work time that an upstream states, in percent of the usual one.
+struct stated_work
+{
+    time_point measured_at; // the newest value
+    std::uint32_t newest_percent = 0;
+    std::uint32_t mean_percent = 0; // of all values in a report
+    std::uint32_t values = 0;       // number of them
+};
+
+// Memory of an engine, in tokens.
+struct engine_memory
+{
+    time_point measured_at;
+    std::uint64_t used = 0; // not evictable
+    std::uint64_t total = 0;
+};
+
 // The load that an upstream last reported; `measured_at` is in the past.
 struct upstream_report
 {
@@ -63,6 +80,8 @@
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
     std::uint64_t queued_prefill_tokens = 0;
+    std::optional<stated_work> work = {};
+    std::optional<engine_memory> memory = {};
 };
 
 struct upstream_row
@@ -76,6 +95,7 @@
     time_point paused_until;     // requested by the upstream itself
     std::uint32_t in_flight = 0; // attempts of this VM
     std::optional<upstream_report> report;
+    std::optional<engine_memory> memory; // the newest of all reports
     // It crashes if it turns away more requests in a second; see
     // request_path::spare_brittle. Holds for its successors too, until an
     // answer shows that it has ended.
