Work times and memory of upstreams travel with the loads between VMs

One VM of 84 gets an answer of a given engine every 15 to 20 s, so what it learns there of the engine's work time and memory is out of date. An upstream_load has new fields at its end: the newest stated work time, the mean of those seen since the last message, and the memory figures of a report, each with its age.

A reader of loads polls an engine that reports its memory every 2 s, and each engine once: answers, which put polls off, do not state the memory.

--- a/src/core/load_sharing.hpp
+++ b/src/core/load_sharing.hpp
@@ -24,27 +24,53 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
 namespace amarantharch
 {
 
-// One engine's load, as sent between VMs.
+// One upstream's load, as sent between VMs. Fields are only appended: an older
+// build skips those that it does not know, a newer one takes their defaults.
 struct upstream_load
 {
     std::string upstream;
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
     std::int64_t age_us = 0; // since it was measured
-    MSGPACK_DEFINE(upstream, running, waiting, age_us)
+    // Stated work time, in percent: the newest value with its age, the mean of
+    // `work_values` values. 0 values: none stated.
+    std::uint32_t work_percent = 0;
+    std::uint32_t mean_work_percent = 0;
+    std::uint32_t work_values = 0;
+    std::int64_t work_age_us = 0;
+    // Memory in tokens, and the age of its report. A total of 0: not reported.
+    std::uint64_t memory_used = 0;
+    std::uint64_t memory_total = 0;
+    std::int64_t memory_age_us = 0;
+    MSGPACK_DEFINE(upstream, running, waiting, age_us, work_percent,
+                   mean_work_percent, work_values, work_age_us, memory_used,
+                   memory_total, memory_age_us)
 };
 
+upstream_load load_of(time_point now, std::string const& upstream,
+                      upstream_report const& report);
+upstream_report report_of(time_point now, upstream_load const& load);
+
+// Adds `report` to what was reported of the same upstream: the newest load,
+// work time and memory count, and the mean of the stated work times is that of
+// both reports.
+void merge_report(upstream_report& into, upstream_report const& report);
+
 struct load_sharing_options
 {
     // Between two reads of one engine by one reader. Each cell has two readers.
     duration read_interval = std::chrono::milliseconds(1'000);
     duration send_interval = std::chrono::milliseconds(300);
+    // Between two reads of an engine that reports its memory, which answers
+    // to callers' requests do not state.
+    duration memory_interval = std::chrono::seconds(2);
     // Limits the calls started in one tick.
     std::size_t max_reads_at_once = 8;
 };
@@ -64,21 +90,18 @@
     // read.
     void add_report(std::string const& upstream, upstream_report const& report)
     {
-        upstream_report& kept = unsent_reports_[upstream];
-        if (kept.measured_at <= report.measured_at)
+        auto const [kept, added] =
+            unsent_reports_.try_emplace(upstream, report);
+        if (!added)
         {
-            kept = report;
+            merge_report(kept->second, report);
         }
-        on_heard(upstream, report.measured_at);
+        on_heard(upstream, report);
     }
 
-    // An engine's load at `measured_at` is known here: no read is needed until
-    // it is read_interval old.
-    void on_heard(std::string const& upstream, time_point measured_at)
-    {
-        time_point& next = next_read_[upstream];
-        next = std::max(next, measured_at + options_.read_interval);
-    }
+    // An engine's load is known here: no read is needed until it is
+    // read_interval old, or its memory memory_interval.
+    void on_heard(std::string const& upstream, upstream_report const& report);
 
     // The reports not yet sent; empty until send_interval has passed.
     std::vector<upstream_load> take_due_loads(time_point now);
@@ -86,6 +109,11 @@
 private:
     load_sharing_options options_;
     std::map<std::string, time_point> next_read_; // next read, by engine
+    // The engines that this VM has begun to read. The first read is not put
+    // off: it shows whether the engine reports its memory.
+    std::set<std::string> first_reads_;
+    // When the memory must be read again, by engine.
+    std::map<std::string, time_point> memory_due_;
     std::map<std::string, upstream_report> unsent_reports_;
     time_point send_due_{};
 };
--- a/src/core/peer_exchange.cpp
+++ b/src/core/peer_exchange.cpp
@@ -85,12 +85,11 @@
     }
     for (upstream_load const& load : update->loads)
     {
-        upstream_report const report{now - duration(load.age_us), load.running,
-                                     load.waiting, 0};
+        upstream_report const report = report_of(now, load);
         requests.upstream_reported(load.upstream, report);
         // What another hub sends, it sends to the whole cell.
         bool const from_hub = update->cell.empty();
-        from_hub ? loads_.on_heard(load.upstream, report.measured_at)
+        from_hub ? loads_.on_heard(load.upstream, report)
                  : loads_.add_report(load.upstream, report);
     }
     for (reading_report const& report : update->reading_reports)
@@ -311,8 +310,7 @@
     for (auto const& [upstream, report] : requests.take_answer_loads())
     {
         loads_.add_report(upstream, report);
-        update.loads.push_back({upstream, report.running, report.waiting,
-                                (now - report.measured_at).count()});
+        update.loads.push_back(load_of(now, upstream, report));
     }
     send(sharing_.own_readers(members), update);
     std::vector<std::string> const cells = sharing_.cells_read(members);
