Routing by the speed of upstreams, the route's target and free memory

Where upstreams state their work time, the predicted cost uses the service's learned pace scaled by the upstream's factor, and the route's own latency target. A price of the upstream's time, which grows with its load and speed, leaves fast upstreams to the requests that need them. One of the candidates with about the same cost is drawn, and one request in 32 goes to any candidate that serves it well in time. An engine whose memory is full is passed over.

--- a/src/app/metrics.cpp
+++ b/src/app/metrics.cpp
@@ -40,6 +40,12 @@
     {gauge_name::control_memory_bytes, "control_memory_bytes",
      "Memory of the state that is shared or read from the log."},
     {gauge_name::ready, "ready", "1 if this VM takes new requests, else 0."},
+    {gauge_name::work_time_lowest, "upstream_work_time_lowest",
+     "Lasting work time of the fastest upstream that states one; 1 is usual."},
+    {gauge_name::work_time_median, "upstream_work_time_median",
+     "Median of the lasting work times of the upstreams that state one."},
+    {gauge_name::work_time_highest, "upstream_work_time_highest",
+     "Lasting work time of the slowest upstream that states one."},
 };
 
 constexpr series_row<counter_name> counters[] = {
--- a/src/app/metrics.hpp
+++ b/src/app/metrics.hpp
@@ -27,6 +27,9 @@
     configuration_revision,
     control_memory_bytes,
     ready, // 1 or 0
+    work_time_lowest,
+    work_time_median,
+    work_time_highest,
 };
 
 // What is counted and carries no label.
--- a/src/app/server.cpp
+++ b/src/app/server.cpp
@@ -929,6 +929,11 @@
             static_cast<double>(node_.control().members().fleet_size()));
         metrics_.set(gauge_name::log_reachable,
                      node_.control().log().reachable() ? 1 : 0);
+        auto const speeds = node_.requests().routing().speeds(
+            present(), node_.requests().upstreams());
+        metrics_.set(gauge_name::work_time_lowest, speeds.lowest);
+        metrics_.set(gauge_name::work_time_median, speeds.median);
+        metrics_.set(gauge_name::work_time_highest, speeds.highest);
         return metrics_.text();
     };
     handlers.configuration = [this]
--- a/src/core/request_attempts.cpp
+++ b/src/core/request_attempts.cpp
@@ -67,6 +67,7 @@
     request_features features;
     features.service = r.route.service;
     features.priority = r.priority;
+    features.latency_target = r.route.latency_target;
     if (r.route.kind == upstream_kind::engine)
     {
         features.prefix = r.request.metadata.size
@@ -346,6 +347,17 @@
                         r.upstream_incarnation});
 }
 
+// Keeps a load for the peers, together with those of earlier answers.
+void request_path::keep_answer_load(std::string const& upstream,
+                                    upstream_report const& report)
+{
+    auto const [kept, added] = answer_loads_.try_emplace(upstream, report);
+    if (!added)
+    {
+        merge_report(kept->second, report);
+    }
+}
+
 void request_path::refuse_for_prompt_part(time_point now, row& r)
 {
     duration retry_after{};
@@ -399,12 +411,17 @@
     if (metadata.load)
     {
         upstream_profile const& profile = upstreams_.row(r->upstream).profile;
-        upstream_report const report{now, metadata.load->running,
-                                     metadata.load->waiting, 0};
+        upstream_report report{now, metadata.load->running,
+                               metadata.load->waiting, 0};
+        if (metadata.load->work_percent)
+        {
+            std::uint32_t const percent = *metadata.load->work_percent;
+            report.work = {now, percent, percent, 1};
+        }
         upstream_reported(profile.name, report);
-        if (profile.kind == upstream_kind::engine)
+        if (profile.kind == upstream_kind::engine || report.work)
         {
-            answer_loads_[profile.name] = report;
+            keep_answer_load(profile.name, report);
         }
     }
     hear_answer(
@@ -585,6 +602,7 @@
     r.answer_bytes += out.size();
     if (!out.empty())
     {
+        router_.on_first_event(now, r.attempt, upstreams_);
         record_begun_answer(now, r);
     }
     if (!out.empty() && r.caller_waits)
@@ -646,6 +664,11 @@
         return;
     }
     outliers_.on_result(now, r->upstream, true, upstreams_);
+    if (r->sse_relay && r->attempts == 1)
+    {
+        router_.on_last_event(now, r->attempt, r->sse_relay->events_relayed(),
+                              upstreams_);
+    }
     record_hold(*r, now - r->attempt_started);
     end_attempt(now, *r);
     if (r->runs_alone)
--- a/src/core/request_path.cpp
+++ b/src/core/request_path.cpp
@@ -691,6 +691,25 @@
     }
 }
 
+void request_path::log_speeds(time_point now)
+{
+    for (auto const& change : router_.take_speed_changes(now, upstreams_))
+    {
+        upstream_profile const& profile =
+            upstreams_.row(change.upstream).profile;
+        add_timeline_entry(
+            "upstream_speed", "",
+            fmt::format("upstream={} service={} work_time={:.2f} before={:.2f} "
+                        "prefill_tokens_per_ms={:.1f}",
+                        profile.name, profile.service, change.factors.after,
+                        change.factors.before,
+                        router_.pace_of(profile.service) == nullptr
+                            ? 0
+                            : router_.pace_of(profile.service)
+                                  ->prefill_tokens_per_ms()));
+    }
+}
+
 void request_path::upstream_reported(std::string const& upstream,
                                      upstream_report const& report)
 {
@@ -762,6 +781,7 @@
     part_quarantine_.tick(now);
     demand_.tick(now);
     watch_connections(now);
+    log_speeds(now);
     if (listed_position_ != used_position_ && now >= shrink_due_)
     {
         use_fleet_position(now, listed_position_);
--- a/src/core/request_path.hpp
+++ b/src/core/request_path.hpp
@@ -226,8 +226,8 @@
     void upstream_reported(std::string const& upstream,
                            upstream_report const& report);
 
-    // Returns and clears the latest load that answers to callers' requests gave
-    // of each engine.
+    // Returns and clears the loads that answers to callers' requests gave of
+    // each engine, and of other upstreams that state their work time.
     std::map<std::string, upstream_report> take_answer_loads()
     {
         return std::exchange(answer_loads_, {});
@@ -274,6 +274,10 @@
     {
         return started_usage_;
     }
+    router const& routing() const
+    {
+        return router_;
+    }
     upstream_table const& upstreams() const
     {
         return upstreams_;
@@ -415,6 +419,8 @@
                     std::vector<upstream_index> const& excluded);
     void record_version_outcome(time_point now, row& r, bool answered);
     bool refuse_if_quarantined(time_point now, row& r);
+    void keep_answer_load(std::string const& upstream,
+                          upstream_report const& report);
     void refuse_for_prompt_part(time_point now, row& r);
     std::vector<upstream_index> exclusions_for(row const& r,
                                                bool reached_only) const;
@@ -422,6 +428,7 @@
     void refuse_unreachable(time_point now, row& r);
     void watch_connections(time_point now);
     void log_reach(bool was_partitioned);
+    void log_speeds(time_point now);
     void handle_lost_relay(time_point now, row& r, verdict run,
                            std::string const& reason);
     void note_byte_of(time_point now, row const& r);
--- a/src/core/routing.cpp
+++ b/src/core/routing.cpp
@@ -31,11 +31,56 @@
 // Changes kept for an upstream between two of its reports.
 constexpr std::size_t max_recent = 4'096;
 
+// Where work times are stated: the cost of a millisecond before the target,
+// against lateness_factor after it.
+constexpr double early_factor = 0.2;
+
+// Error of a predicted time, as a part of it, and the least error.
+constexpr double time_error = 0.3;
+constexpr double least_time_error_ms = 10;
+
+// Cost of a millisecond of an idle upstream of usual speed, and how much it
+// grows with its load in requests per slot.
+constexpr double time_price = 0.5;
+constexpr double time_price_per_load = 4;
+
+// Power of the speed that the price grows with. In a replay of the newsroom at
+// 1.7 and 2.6 times its load (uneven_upstreams_test), 1 left the slow upstreams
+// nearly unused, and 2 the fast ones.
+constexpr double scarcity = 1.5;
+
+// Part of the error of the prediction within which costs count as equal.
+constexpr double tie_width = 0.2;
+
+// One in so many requests goes to any candidate that serves it well in time.
+constexpr std::uint64_t probe_interval = 32;
+
+// An attempt tells the rate of the prefill if it has at least so many uncached
+// tokens, and its upstream at most so many requests per slot.
+constexpr std::uint32_t telling_tokens = 1'000;
+constexpr double light_load = 0.5;
+// Time to the first event from which it tells the speed of the upstream; a
+// shorter one is mostly that of the network.
+constexpr double telling_ms = 40;
+// Events from which the time between them does.
+constexpr std::uint64_t telling_events = 8;
+
+// A report of memory is used for so long.
+constexpr duration memory_lifetime = std::chrono::seconds(10);
+
 double millis_between(time_point from, time_point to)
 {
     return std::chrono::duration<double, std::milli>(to - from).count();
 }
 
+// A smooth max(0, x), which is the expectation under an error of that size:
+// softplus. Above 30 errors it equals its argument, and exp() might overflow.
+double soft_excess(double x, double error)
+{
+    double const scaled = x / error;
+    return scaled > 30 ? scaled * error : error * std::log1p(std::exp(scaled));
+}
+
 class_routing const& class_of(routing_options const& options,
                               request_features const& request)
 {
@@ -70,6 +115,7 @@
                std::vector<upstream_index> const& exclusions)
 {
     collect_candidates(now, request, table, exclusions);
+    pass_over_full_memories(now, request, table);
     if (candidates_.empty())
     {
         return std::nullopt;
@@ -138,15 +184,11 @@
 {
     class_routing const& bounds = class_of(options_, request);
     update_fleet_ratio(table);
-    double total_load = 0;
-    for (candidate const& c : candidates_)
+    if (service_pace const* const pace = pace_of(request.service))
     {
-        total_load += load_of(c.upstream, table.row(c.upstream));
+        return choose_by_pace(now, request, table, *pace);
     }
-    double const bound =
-        options_.affinity_load_bound *
-            (total_load / static_cast<double>(candidates_.size())) +
-        0.5;
+    double const bound = affinity_bound(table);
     std::optional<choice> best;
     double best_cost = std::numeric_limits<double>::infinity();
     for (std::size_t i = 0; i < candidates_.size(); ++i)
@@ -177,6 +219,170 @@
     return best;
 }
 
+// The load up to which an upstream's cache counts.
+double router::affinity_bound(upstream_table const& table) const
+{
+    double total_load = 0;
+    for (candidate const& c : candidates_)
+    {
+        total_load += load_of(c.upstream, table.row(c.upstream));
+    }
+    return options_.affinity_load_bound *
+               (total_load / static_cast<double>(candidates_.size())) +
+           0.5;
+}
+
+std::optional<choice> router::choose_by_pace(time_point now,
+                                             request_features const& request,
+                                             upstream_table const& table,
+                                             service_pace const& pace)
+{
+    class_routing const& bounds = class_of(options_, request);
+    double const target =
+        request.latency_target > duration::zero()
+            ? millis_between(time_point(), time_point(request.latency_target))
+            : bounds.first_token_target_ms;
+    double const bound = affinity_bound(table);
+    prospects_.clear();
+    costs_.clear();
+    double least_cost = std::numeric_limits<double>::infinity();
+    double width = 0;
+    for (std::size_t i = 0; i < candidates_.size(); ++i)
+    {
+        candidate const& c = candidates_[i];
+        upstream_row const& row = table.row(c.upstream);
+        bool const affinity = load_of(c.upstream, row) <= bound;
+        prospect const found =
+            prospect_at(now, request, table, c.upstream, affinity, pace);
+        double const ms = found.option.predicted_ms;
+        double const error = std::max(time_error * ms, least_time_error_ms);
+        // The fast ones are scarce: a millisecond there does more work.
+        double const lasting = speed_.lasting(now, c.upstream);
+        double const price = (time_price + time_price_per_load * found.load) /
+                             std::pow(lasting, scarcity);
+        double cost = early_factor * ms +
+                      lateness_factor * soft_excess(ms - target, error) +
+                      price * found.own_ms +
+                      row.profile.price_per_hour * bounds.ms_per_price;
+        if (affinity && c.home && found.option.predicted_cached_tokens == 0)
+        {
+            double const rank = static_cast<double>(i + 1);
+            cost -= options_.home_discount / rank * request.prompt_tokens /
+                    pace.prefill_tokens_per_ms();
+        }
+        prospects_.push_back(found);
+        costs_.push_back(cost);
+        if (cost < least_cost)
+        {
+            least_cost = cost;
+            width = tie_width * early_factor * error;
+        }
+    }
+    if (random_() % probe_interval == 0)
+    {
+        // A slow upstream gets some work, so that its recovery is noticed.
+        prospect const& probed = prospects_[random_() % prospects_.size()];
+        if (probed.option.predicted_ms <= target / 2)
+        {
+            return probed.option;
+        }
+    }
+    std::size_t drawn = 0;
+    std::size_t ties = 0;
+    for (std::size_t i = 0; i < costs_.size(); ++i)
+    {
+        // Draws one of those within the width, each with the same chance.
+        if (costs_[i] <= least_cost + width && random_() % ++ties == 0)
+        {
+            drawn = i;
+        }
+    }
+    return prospects_[drawn].option;
+}
+
+// What the request would find at an upstream. The prefill of other VMs'
+// requests is not reported: of each waiting request it is that of the mean
+// prompt, of a running one the part that Little's law gives.
+router::prospect router::prospect_at(time_point now,
+                                     request_features const& request,
+                                     upstream_table const& table,
+                                     upstream_index upstream, bool affinity,
+                                     service_pace const& pace) const
+{
+    upstream_row const& row = table.row(upstream);
+    double const factor = speed_.momentary(now, upstream);
+    double const usual_rate = pace.prefill_tokens_per_ms();
+    double const slots = std::max(1u, row.profile.slots);
+    double const requests = requests_at(upstream, row);
+    double const prompt_ms = pace.prompt_tokens() / usual_rate;
+    double const in_prefill =
+        std::min(requests, slots) *
+        std::min(prompt_ms / std::max(pace.hold_ms(), 1.0), 1.0) / 2;
+    double const waiting = std::max(requests - slots, 0.0);
+    double const others_tokens = (in_prefill + waiting) * pace.prompt_tokens();
+    double const own_waiting =
+        upstream < sent_.size()
+            ? static_cast<double>(sent_[upstream].awaiting_tokens)
+            : 0;
+    double const cached = affinity ? cached_tokens(request, upstream) : 0;
+    double const uncached = request.prompt_tokens - cached;
+    prospect result;
+    result.option.upstream = upstream;
+    result.option.predicted_cached_tokens = static_cast<std::uint32_t>(cached);
+    result.usual_ms =
+        (std::max(others_tokens, own_waiting) + uncached) / usual_rate +
+        requests_before(now, upstream, row) * pace.hold_ms() / slots;
+    if (row.profile.kind == upstream_kind::plain)
+    {
+        result.usual_ms += pace.hold_ms();
+    }
+    result.option.predicted_ms = result.usual_ms * factor;
+    result.own_ms = row.profile.kind == upstream_kind::plain
+                        ? pace.hold_ms() * factor / slots
+                        : uncached / usual_rate * factor;
+    result.load = requests / slots;
+    return result;
+}
+
+double router::cached_tokens(request_features const& request,
+                             upstream_index upstream) const
+{
+    double const cached =
+        static_cast<double>(cache_.predicted_blocks(upstream, request.prefix)) *
+        tokens_per_block * cache_.confidence(upstream);
+    return std::min(cached, static_cast<double>(request.prompt_tokens));
+}
+
+// Removes the candidates whose memory does not hold the request, unless that
+// holds for all of them.
+void router::pass_over_full_memories(time_point now,
+                                     request_features const& request,
+                                     upstream_table const& table)
+{
+    double const need =
+        static_cast<double>(request.prompt_tokens) + request.expected_output;
+    auto const is_full = [&](candidate const& c)
+    {
+        auto const& memory = table.row(c.upstream).memory;
+        if (!memory || now - memory->measured_at > memory_lifetime)
+        {
+            return false;
+        }
+        double const since =
+            c.upstream < sent_.size()
+                ? static_cast<double>(sent_[c.upstream].memory_since_report)
+                : 0;
+        return static_cast<double>(memory->used) + since * fleet_factor() +
+                   need >
+               static_cast<double>(memory->total);
+    };
+    if (std::ranges::any_of(candidates_, is_full) &&
+        !std::ranges::all_of(candidates_, is_full))
+    {
+        std::erase_if(candidates_, is_full);
+    }
+}
+
 std::optional<choice>
 router::choose_round_robin(time_point now, request_features const& request,
                            upstream_table const& table)
@@ -222,14 +428,7 @@
                        bool affinity) const
 {
     upstream_row const& row = table.row(upstream);
-    double cached = 0;
-    if (affinity)
-    {
-        cached = static_cast<double>(
-                     cache_.predicted_blocks(upstream, request.prefix)) *
-                 tokens_per_block * cache_.confidence(upstream);
-    }
-    cached = std::min(cached, static_cast<double>(request.prompt_tokens));
+    double const cached = affinity ? cached_tokens(request, upstream) : 0;
     double const work =
         queued_tokens(now, upstream, row) + request.prompt_tokens - cached;
     choice result;
@@ -287,15 +486,18 @@
     double const hold = known_hold > 0 ? known_hold
                                        : default_output_tokens *
                                              row.profile.ms_per_output_token;
+    return requests_before(now, upstream, row) * hold / slots;
+}
+
+// Expected number of requests that must end before another one gets a slot.
+double router::requests_before(time_point now, upstream_index upstream,
+                               upstream_row const& row) const
+{
+    double const slots = std::max(1u, row.profile.slots);
     double const age_seconds =
         row.report ? millis_between(row.report->measured_at, now) / 1'000 : 0;
     double const error = load_error + load_error_per_second * age_seconds;
-    // Expected number of requests that must end first: softplus, a smooth
-    // max(0, x). Above 30 it equals its argument, and exp() might overflow.
-    double const excess = (requests_at(upstream, row) + 1 - slots) / error;
-    double const before =
-        excess > 30 ? excess * error : error * std::log1p(std::exp(excess));
-    return before * hold / slots;
+    return soft_excess(requests_at(upstream, row) + 1 - slots, error);
 }
 
 double router::fleet_factor() const
@@ -350,9 +552,125 @@
     sent_work& own = work_at(picked.upstream);
     own.awaiting_tokens += uncached;
     add_change(own, {now, uncached, 1});
+    // The memory that it takes is counted where engines report theirs.
+    if (row.memory)
+    {
+        std::uint32_t const memory =
+            request.prompt_tokens + request.expected_output;
+        own.recent_memory.push_back({now, memory, 1});
+        own.memory_since_report += memory;
+        if (own.recent_memory.size() > max_recent)
+        {
+            own.memory_since_report -= own.recent_memory.front().tokens;
+            own.recent_memory.pop_front();
+        }
+    }
+    auto const pace = paces_.find(request.service);
+    if (pace != paces_.end())
+    {
+        pace->second.on_prompt(uncached);
+        sent.usual_ms =
+            picked.predicted_ms / speed_.momentary(now, picked.upstream);
+        // Other VMs may have brought the shared part of a prompt to the
+        // engine's cache; only what follows a part known to be cached is
+        // certainly not there.
+        sent.knows_uncached =
+            sent.predicted_cached_tokens > 0 || request.affinity_key == 0;
+        sent.lightly_loaded = load_of(picked.upstream, row) <= light_load;
+    }
     cache_.on_sent(picked.upstream, request.prefix);
 }
 
+void router::on_first_event(time_point now, attempt_id attempt,
+                            upstream_table const& table)
+{
+    auto const known = attempts_.find(attempt);
+    if (known == attempts_.end() || known->second.first_event_at)
+    {
+        return;
+    }
+    attempt_row& sent = known->second;
+    sent.first_event_at = now;
+    auto const pace = paces_.find(table.row(sent.upstream).profile.service);
+    if (pace == paces_.end())
+    {
+        return;
+    }
+    double const ms = millis_between(sent.sent_at, now);
+    bool const tells_rate = sent.knows_uncached && sent.lightly_loaded &&
+                            sent.uncached_tokens >= telling_tokens;
+    if (tells_rate)
+    {
+        pace->second.on_first_event(sent.uncached_tokens, ms,
+                                    speed_.momentary(now, sent.upstream));
+    }
+    if (tells_rate && sent.usual_ms >= telling_ms)
+    {
+        speed_.on_observed(now, sent.upstream, ms / sent.usual_ms);
+    }
+}
+
+void router::on_last_event(time_point now, attempt_id attempt,
+                           std::uint64_t events, upstream_table const& table)
+{
+    auto const known = attempts_.find(attempt);
+    if (known == attempts_.end() || !known->second.first_event_at ||
+        events < telling_events)
+    {
+        return;
+    }
+    attempt_row const& sent = known->second;
+    auto const pace = paces_.find(table.row(sent.upstream).profile.service);
+    if (pace == paces_.end())
+    {
+        return;
+    }
+    double const gap = millis_between(*sent.first_event_at, now) /
+                       static_cast<double>(events - 1);
+    speed_.on_observed(now, sent.upstream, pace->second.gap_factor(gap));
+    pace->second.on_gap(gap, speed_.lasting(now, sent.upstream));
+}
+
+service_pace const* router::pace_of(std::string const& service) const
+{
+    auto const known = paces_.find(service);
+    return known == paces_.end() ? nullptr : &known->second;
+}
+
+router::speed_range router::speeds(time_point now,
+                                   upstream_table const& table) const
+{
+    std::vector<double> factors;
+    for (upstream_index i = 0; !paces_.empty() && i < table.size(); ++i)
+    {
+        upstream_row const& row = table.row(i);
+        if (row.present && pace_of(row.profile.service) != nullptr)
+        {
+            factors.push_back(speed_.lasting(now, i));
+        }
+    }
+    if (factors.empty())
+    {
+        return {};
+    }
+    std::ranges::sort(factors);
+    return {factors.front(), factors[factors.size() / 2], factors.back()};
+}
+
+std::vector<router::speed_change>
+router::take_speed_changes(time_point now, upstream_table const& table)
+{
+    std::vector<speed_change> changes;
+    for (upstream_index i = 0; !paces_.empty() && i < table.size(); ++i)
+    {
+        if (auto const factors = speed_.take_change(now, i))
+        {
+            changes.push_back({i, *factors});
+        }
+    }
+    return changes;
+}
+
 void router::on_first_token(attempt_id attempt,
                             std::optional<std::uint32_t> cached_tokens)
 {
@@ -387,6 +705,11 @@
     double const held = millis_between(ended.sent_at, now);
     double const gain = own.mean_hold_ms == 0 ? 1 : mean_gain;
     own.mean_hold_ms += gain * (held - own.mean_hold_ms);
+    auto const pace = paces_.find(table.row(ended.upstream).profile.service);
+    if (pace != paces_.end())
+    {
+        pace->second.on_hold(held, speed_.lasting(now, ended.upstream));
+    }
     attempts_.erase(known);
 }
 
@@ -405,6 +728,26 @@
                        upstream_table& table)
 {
     upstream_row& row = table.row(upstream);
+    if (report.work && options_.uses_work_times)
+    {
+        speed_.on_stated(upstream, *report.work);
+        paces_.try_emplace(row.profile.service,
+                           row.profile.prefill_tokens_per_ms);
+    }
+    bool const has_newer_memory =
+        report.memory && options_.uses_work_times &&
+        (!row.memory || row.memory->measured_at < report.memory->measured_at);
+    if (has_newer_memory)
+    {
+        row.memory = report.memory;
+        sent_work& own = work_at(upstream);
+        while (!own.recent_memory.empty() &&
+               own.recent_memory.front().at <= report.memory->measured_at)
+        {
+            own.memory_since_report -= own.recent_memory.front().tokens;
+            own.recent_memory.pop_front();
+        }
+    }
     if (row.report && row.report->measured_at >= report.measured_at)
     {
         return;
@@ -437,6 +780,9 @@
     own.recent.clear();
     own.tokens_since_report = 0;
     own.in_flight_since_report = 0;
+    own.recent_memory.clear();
+    own.memory_since_report = 0;
+    speed_.reset(upstream);
 }
 
 router::sent_work& router::work_at(upstream_index upstream)
--- a/src/core/routing.hpp
+++ b/src/core/routing.hpp
@@ -18,6 +18,21 @@
 // Prefix affinity is bounded: the cache of an upstream whose load is above
 // `affinity_load_bound` times the mean of the candidates is not counted.
 //
+// Where the upstreams of a service state their work time, the rates and times
+// of the profile are replaced by those learned for the service (service_pace),
+// scaled by the upstream's factor (upstream_speed), and the target by that of
+// the route. The cost is then the expected time past the target, under an error
+// of the prediction that grows with it, plus a small part of the time itself
+// and the price of the upstream's time that the request takes. That price grows
+// with the upstream's load and speed, so a request that is on time elsewhere
+// leaves the fast upstreams to those that are not. No VM needs to know of the
+// others' requests: the load that all cause is in the reports. Of the
+// candidates whose costs differ by less than the error of the prediction, one
+// is drawn at random, so that VMs with the same reports do not choose the same.
+//
+// An engine whose free memory does not hold the prompt and the output is passed
+// over while another candidate has room.
+//
 // Upstreams that do not take work, or have another version than the request
 // asks for, are never candidates, under any strategy.
 //
@@ -39,7 +54,9 @@
 #include "core/event.hpp"
 #include "core/name_table.hpp"
 #include "core/prefix_cache.hpp"
+#include "core/service_pace.hpp"
 #include "core/time.hpp"
+#include "core/upstream_speed.hpp"
 #include "core/upstream_table.hpp"
 
 #include <absl/container/flat_hash_map.h>
@@ -47,6 +64,8 @@
 #include <array>
 #include <cstdint>
 #include <deque>
+#include <functional>
+#include <map>
 #include <optional>
 #include <random>
 #include <string>
@@ -85,6 +104,7 @@
     block_hash affinity_key = 0;
     std::uint32_t prompt_tokens = 0;   // estimate
     std::uint32_t expected_output = 0; // tokens, estimate
+    duration latency_target{};         // of the first event; 0: by its class
 };
 
 struct choice
@@ -132,6 +152,9 @@
     std::array<class_routing, request_class_count> classes{
         {{700, 0}, {1'500, 20}, {5'000, 200}}};
     std::size_t cache_budget_blocks = 262'144;
+    // Whether stated work times and reported memory count; false in tests
+    // that compare decisions.
+    bool uses_work_times = true;
 };
 
 class router
@@ -154,6 +177,14 @@
     void on_first_token(attempt_id attempt,
                         std::optional<std::uint32_t> cached_tokens);
 
+    // The first event of a stream arrived. Repeated calls are ignored.
+    void on_first_event(time_point now, attempt_id attempt,
+                        upstream_table const& table);
+
+    // A stream ended after `events` events; to be called before on_end.
+    void on_last_event(time_point now, attempt_id attempt, std::uint64_t events,
+                       upstream_table const& table);
+
     // Ignores unknown attempts, hence repeated calls.
     void on_end(time_point now, attempt_id attempt, upstream_table& table);
 
@@ -175,6 +206,33 @@
         return cache_;
     }
 
+    upstream_speed const& speed() const
+    {
+        return speed_;
+    }
+
+    // The usual pace of a service whose upstreams state their work time, else
+    // null.
+    service_pace const* pace_of(std::string const& service) const;
+
+    // A lasting work factor that has changed.
+    struct speed_change
+    {
+        upstream_index upstream = 0;
+        upstream_speed::change factors;
+    };
+    std::vector<speed_change> take_speed_changes(time_point now,
+                                                 upstream_table const& table);
+
+    // The lasting work factors of the upstreams of services that state them.
+    struct speed_range
+    {
+        double lowest = 1;
+        double median = 1;
+        double highest = 1;
+    };
+    speed_range speeds(time_point now, upstream_table const& table) const;
+
 private:
     struct attempt_row
     {
@@ -183,6 +241,11 @@
         std::uint32_t uncached_tokens = 0;
         std::uint32_t predicted_cached_tokens = 0;
         bool first_token_seen = false;
+        // For the service's pace, where one is known.
+        std::optional<time_point> first_event_at;
+        double usual_ms = 0; // predicted for an upstream of usual speed
+        bool knows_uncached = false;
+        bool lightly_loaded = false;
     };
 
     // An attempt of this VM that started or ended.
@@ -205,6 +268,19 @@
         int in_flight_since_report = 0;
         // Time that an attempt holds a slot, a moving average; 0: none ended.
         double mean_hold_ms = 0;
+        // Memory that attempts took since the last report of memory was
+        // measured.
+        std::deque<recent_change> recent_memory;
+        std::uint64_t memory_since_report = 0;
+    };
+
+    // The work waiting at an upstream and its speed, as one request finds them.
+    struct prospect
+    {
+        choice option;
+        double usual_ms = 0; // predicted_ms at the usual speed
+        double own_ms = 0;   // time that the request takes from others
+        double load = 0;     // requests per slot
     };
 
     struct candidate
@@ -225,6 +301,21 @@
     std::optional<choice> choose_predicted(time_point now,
                                            request_features const& request,
                                            upstream_table const& table);
+    std::optional<choice> choose_by_pace(time_point now,
+                                         request_features const& request,
+                                         upstream_table const& table,
+                                         service_pace const& pace);
+    prospect prospect_at(time_point now, request_features const& request,
+                         upstream_table const& table, upstream_index upstream,
+                         bool affinity, service_pace const& pace) const;
+    void pass_over_full_memories(time_point now,
+                                 request_features const& request,
+                                 upstream_table const& table);
+    double cached_tokens(request_features const& request,
+                         upstream_index upstream) const;
+    double affinity_bound(upstream_table const& table) const;
+    double requests_before(time_point now, upstream_index upstream,
+                           upstream_row const& row) const;
     std::optional<choice> choose_round_robin(time_point now,
                                              request_features const& request,
                                              upstream_table const& table);
@@ -263,6 +354,11 @@
     // VM's; a moving average over decisions.
     double fleet_ratio_ = 1;
     absl::flat_hash_map<attempt_id, attempt_row> attempts_;
+    upstream_speed speed_;
+    // Of services whose upstreams state their work time.
+    std::map<std::string, service_pace, std::less<>> paces_;
+    std::vector<prospect> prospects_; // of the decision being made
+    std::vector<double> costs_;       // of prospects_
 };
 
 } // namespace amarantharch
--- a/src/core/routing_test.cpp
+++ b/src/core/routing_test.cpp
@@ -5,6 +5,7 @@
 #include <boost/test/unit_test.hpp>
 #include <fmt/format.h>
 
+#include <array>
 #include <string>
 
 namespace amarantharch
@@ -193,6 +194,148 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(upstreams_that_state_their_work_time)
+
+// Three engines at 60, 100 and 160 percent, stated for a minute.
+struct uneven_fleet
+{
+    explicit uneven_fleet(std::uint64_t seed = 1)
+        : table(fleet_of(3)), chooser(options_for(seed))
+    {
+        for (int i = 0; i < 200; ++i)
+        {
+            state(start + milliseconds(300) * i);
+        }
+    }
+
+    static routing_options options_for(std::uint64_t seed)
+    {
+        routing_options options;
+        options.seed = seed;
+        return options;
+    }
+
+    void state(time_point at)
+    {
+        std::uint32_t const percents[] = {60, 100, 160};
+        for (upstream_index i = 0; i < 3; ++i)
+        {
+            upstream_report report{at, 2, 0, 0};
+            report.work = {at, percents[i], percents[i], 1};
+            chooser.on_report(i, report, table);
+        }
+        now = at;
+    }
+
+    // How many of 100 requests of so many tokens would go to each engine.
+    std::array<int, 3> choices(std::uint32_t tokens, milliseconds target)
+    {
+        request_features what = draft("");
+        what.prompt_tokens = tokens;
+        what.latency_target = target;
+        std::array<int, 3> count{};
+        for (int i = 0; i < 100; ++i)
+        {
+            ++count.at(chooser.choose(now, what, table, {})->upstream);
+        }
+        return count;
+    }
+
+    upstream_table table;
+    router chooser;
+    time_point now;
+};
+
+// Guards against large prompts that miss their target at slow engines, and
+// small ones that take the time of the fast ones without need.
+BOOST_AUTO_TEST_CASE(run_large_prompts_if_fast_and_small_ones_else)
+{
+    uneven_fleet fleet;
+    // 10 tokens a ms: 1,300 ms as usual, 780 at the fast engine.
+    BOOST_TEST(fleet.choices(13'000, milliseconds(1'000))[0] >= 90);
+    auto const small = fleet.choices(500, milliseconds(1'000));
+    BOOST_TEST(small[0] <= 60);
+    BOOST_TEST(small[1] + small[2] >= 40);
+}
+
+BOOST_AUTO_TEST_CASE(are_avoided_in_a_slow_moment_and_not_after_it)
+{
+    uneven_fleet fleet;
+    upstream_report report{fleet.now + milliseconds(50), 2, 0, 0};
+    report.work = {report.measured_at, 150, 150, 1};
+    fleet.chooser.on_report(0, report, fleet.table);
+    fleet.now = report.measured_at;
+    BOOST_TEST(fleet.choices(9'000, milliseconds(1'000))[0] <= 10);
+    fleet.now += milliseconds(1'500);
+    BOOST_TEST(fleet.choices(9'000, milliseconds(1'000))[0] >= 50);
+}
+
+BOOST_AUTO_TEST_CASE(are_forgotten_with_their_incarnation)
+{
+    uneven_fleet fleet;
+    BOOST_TEST(fleet.chooser.speed().lasting(fleet.now, 2) > 1.4);
+    BOOST_TEST(fleet.chooser.speeds(fleet.now, fleet.table).highest > 1.4);
+    fleet.chooser.on_upstream_reset(2);
+    BOOST_TEST(fleet.chooser.speed().lasting(fleet.now, 2) == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(an_engine_without_free_memory)
+
+upstream_report report_with_memory(time_point at, std::uint64_t used)
+{
+    upstream_report report{at, 1, 0, 0};
+    report.memory = {at, used, 10'000};
+    return report;
+}
+
+// Guards against prompts that an engine has to preempt others for.
+BOOST_AUTO_TEST_CASE(is_passed_over_while_another_has_room)
+{
+    upstream_table table = fleet_of(2);
+    router chooser = router_with(routing_strategy::predicted);
+    request_features what = draft("");
+    what.prompt_tokens = 3'000;
+    what.expected_output = 500;
+    chooser.on_report(0, report_with_memory(start, 7'000), table);
+    chooser.on_report(1, report_with_memory(start, 1'000), table);
+    BOOST_TEST(chooser.choose(start, what, table, {})->upstream == 1u);
+    // What was sent since the report takes memory too.
+    chooser.on_sent(start + milliseconds(1), 1, what, {1, 0, 0}, table);
+    chooser.on_sent(start + milliseconds(2), 2, what, {1, 0, 0}, table);
+    chooser.on_report(0, report_with_memory(start + milliseconds(3), 5'000),
+                      table);
+    BOOST_TEST(
+        chooser.choose(start + milliseconds(4), what, table, {})->upstream ==
+        0u);
+    // A load without memory figures changes nothing.
+    chooser.on_report(0, {start + milliseconds(5), 1, 0, 0}, table);
+    BOOST_TEST(
+        chooser.choose(start + milliseconds(6), what, table, {})->upstream ==
+        0u);
+}
+
+// Guards against requests that are refused because of a figure.
+BOOST_AUTO_TEST_CASE(takes_requests_if_no_other_has_room_or_its_report_is_old)
+{
+    upstream_table table = fleet_of(2);
+    router chooser = router_with(routing_strategy::predicted);
+    request_features what = draft("");
+    what.prompt_tokens = 3'000;
+    chooser.on_report(0, report_with_memory(start, 9'000), table);
+    BOOST_TEST(chooser.choose(start, what, table, {})->upstream == 1u);
+    BOOST_TEST(chooser.choose(start, what, table, {1})->upstream == 0u);
+    chooser.on_report(1, report_with_memory(start, 9'000), table);
+    BOOST_TEST(chooser.choose(start, what, table, {}).has_value());
+    chooser.on_report(0, {start + seconds(59), 0, 0, 0}, table);
+    chooser.on_report(1, {start + seconds(59), 16, 9, 0}, table);
+    BOOST_TEST(chooser.choose(start + seconds(60), what, table, {})->upstream ==
+               0u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(a_lagging_report)
 
 BOOST_AUTO_TEST_CASE(is_corrected_for_what_was_sent_and_done_since)
