Memory of engines: count this VM's own requests since the report once

Times the fleet's factor, one large prompt of a VM would fill an engine for the 2 s until its next report, and take the prompt's cache with it. The work time in an answer that is not the upstream's own does not count.

--- a/src/core/request_attempts.cpp
+++ b/src/core/request_attempts.cpp
@@ -413,7 +413,9 @@
         upstream_profile const& profile = upstreams_.row(r->upstream).profile;
         upstream_report report{now, metadata.load->running,
                                metadata.load->waiting, 0};
-        if (metadata.load->work_percent)
+        bool const is_own = metadata.genuine && !metadata.from_other_upstream &&
+                            !metadata.answers_other_request;
+        if (metadata.load->work_percent && is_own)
         {
             std::uint32_t const percent = *metadata.load->work_percent;
             report.work = {now, percent, percent, 1};
--- a/src/core/routing.cpp
+++ b/src/core/routing.cpp
@@ -354,7 +354,9 @@
 }
 
 // Removes the candidates whose memory does not hold the request, unless that
-// holds for all of them.
+// holds for all of them. Of what was sent since the report, only this VM's part
+// counts: times the fleet's factor, one large prompt of this VM would fill an
+// engine for the seconds until the next report.
 void router::pass_over_full_memories(time_point now,
                                      request_features const& request,
                                      upstream_table const& table)
@@ -372,8 +374,7 @@
             c.upstream < sent_.size()
                 ? static_cast<double>(sent_[c.upstream].memory_since_report)
                 : 0;
-        return static_cast<double>(memory->used) + since * fleet_factor() +
-                   need >
+        return static_cast<double>(memory->used) + since + need >
                static_cast<double>(memory->total);
     };
     if (std::ranges::any_of(candidates_, is_full) &&
