--- a/src/app/metrics.cpp
+++ b/src/app/metrics.cpp
@@ -44,6 +44,12 @@
      "Upstreams that get requests in turns because they are cold."},
     {gauge_name::evacuated_domains, "evacuated_domains",
      "Failure domains that the operator has evacuated."},
+    {gauge_name::work_time_lowest, "upstream_work_time_lowest",
+     "Lasting work time of the fastest upstream that states one; 1 is usual."},
+    {gauge_name::work_time_median, "upstream_work_time_median",
+     "Median of the lasting work times of the upstreams that state one."},
+    {gauge_name::work_time_highest, "upstream_work_time_highest",
+     "Lasting work time of the slowest upstream that states one."},
 };
 
 constexpr series_row<counter_name> counters[] = {
--- a/src/app/metrics.hpp
+++ b/src/app/metrics.hpp
@@ -29,6 +29,9 @@
     ready, // 1 or 0
     cold_upstreams,
     evacuated_domains,
+    work_time_lowest,
+    work_time_median,
+    work_time_highest,
 };
 
 // What is counted and carries no label.
--- a/src/app/server.cpp
+++ b/src/app/server.cpp
@@ -935,6 +935,11 @@
         metrics_.set(gauge_name::evacuated_domains,
                      static_cast<double>(
                          node_.requests().evacuations().evacuated_count()));
+        auto const speeds = node_.requests().routing().speeds(
+            present(), node_.requests().upstreams());
+        metrics_.set(gauge_name::work_time_lowest, speeds.lowest);
+        metrics_.set(gauge_name::work_time_median, speeds.median);
+        metrics_.set(gauge_name::work_time_highest, speeds.highest);
         return metrics_.text();
     };
     handlers.configuration = [this]
