Duty log: a restarted holder claims at once

When all VMs are killed at once, nobody claimed the fleet's duties before takeover_timeout (7 s) had passed since the last record, so the next usage window was reported late or not at all.

A VM whose own earlier process was the last holder now claims as soon as it has read the log to its end, also if it is none of the watchers. Others wait as before. Records carry the era and the claim of their writer: in a log that came back from an older copy a VM claims at once only if the newest record is of the present era, and a VM that starts finds the holder in the newest 128 records. A process reports nothing in its first 2 s, so that the counts of its peers have arrived, unless the window would become late.

--- a/src/core/duty_log.cpp
+++ b/src/core/duty_log.cpp
@@ -17,6 +17,11 @@
 constexpr std::size_t repeated_windows = 2;
 constexpr std::size_t remembered_windows = 16;
 
+// A VM that starts reads at most this many of the newest records. The holder
+// appends at most a few records a second, so they reach back beyond all windows
+// that may still be reported.
+constexpr duty_offset read_back_records = 128;
+
 // Fences have the era above this many bits of the offset; the platform's
 // numbers are exact up to 2^53.
 constexpr unsigned fence_offset_bits = 32;
@@ -24,6 +29,9 @@
 // The first era of a log: nothing was lost before it.
 constexpr std::uint64_t first_era = 1;
 
+// Of a holder's fence, its claim's offset plus one.
+constexpr fence_number claim_bits = (fence_number{1} << fence_offset_bits) - 1;
+
 fence_number fence_of(std::uint64_t era, duty_offset claim)
 {
     return era << fence_offset_bits | (claim + 1);
@@ -58,13 +66,14 @@
 void duty_log::tick(time_point now, bool watches, bool orders_wanted,
                     usage_windows const& usage, duty_sink const& emit)
 {
+    started_at_ = started_at_.value_or(now);
     if (request_outstanding_ || now < due_)
     {
         return;
     }
     if (!holds())
     {
-        if (watches)
+        if (watches || !end_reached_ || succeeds_itself())
         {
             poll_or_claim(now, emit);
         }
@@ -101,12 +110,22 @@
     append(now, std::move(record), emit);
 }
 
-// Reads new records, or claims if there were none for takeover_timeout.
+// The last holder was an earlier process of this VM, and no record after those
+// read can have been lost.
+bool duty_log::succeeds_itself() const
+{
+    bool const own = holder_ && holder_->vm == options_.vm &&
+                     holder_->incarnation < options_.incarnation;
+    return own && (era_ <= first_era || newest_record_era_ == era_);
+}
+
+// Reads new records, or claims: at once as the successor of an earlier process
+// of this VM, else if there were no records for takeover_timeout.
 void duty_log::poll_or_claim(time_point now, duty_sink const& emit)
 {
     bool const silent = !log_has_records_ ||
                         now - last_record_seen_at_ >= options_.takeover_timeout;
-    if (caught_up_ && silent)
+    if (caught_up_ && (silent || succeeds_itself()))
     {
         duty_record record;
         record.kind = kind_value(duty_record_kind::claim);
@@ -122,6 +141,8 @@
 {
     record.vm = options_.vm;
     record.incarnation = options_.incarnation;
+    record.era = era_;
+    record.claim = holds() ? holder_->fence & claim_bits : 0;
     request_outstanding_ = true;
     append_sent_at_ = now;
     std::string bytes = encode(record);
@@ -155,9 +176,14 @@
     for (window_number w = present - kept; w < present; ++w)
     {
         time_point const end = usage.end_of(w);
-        bool const due = now >= end + options_.report_delay &&
-                         now < end + options_.report_due;
-        bool const unknown = end + options_.report_delay <= unknown_before_;
+        time_point const gathered =
+            std::min(started_at_.value_or(now) + options_.gather_time,
+                     end + options_.report_due - options_.report_margin);
+        bool const due =
+            now >= std::max(end + options_.report_delay, gathered) &&
+            now < end + options_.report_due;
+        bool const unknown = end + options_.report_delay <= unknown_before_ &&
+                             w < first_of_era_.value_or(w + 1);
         if (due && !unknown && !reported_.contains(w))
         {
             return w;
@@ -176,7 +202,9 @@
         {
             log_has_records_ = true;
             last_record_seen_at_ = now;
-            if (auto const record = decode(bytes))
+            auto const record = decode(bytes);
+            newest_record_era_ = record ? record->era : 0;
+            if (record)
             {
                 apply(now, offset, *record);
             }
@@ -184,8 +212,16 @@
         }
         ++offset;
     }
+    if (!end_reached_ && batch.end > position_ + read_back_records)
+    {
+        position_ = batch.end - read_back_records;
+        holder_.reset();
+    }
     caught_up_ = position_ >= batch.end;
-    due_ = caught_up_ && !holds() ? now + options_.poll_interval : now;
+    end_reached_ = end_reached_ || caught_up_;
+    due_ = caught_up_ && !holds() && !succeeds_itself()
+               ? now + options_.poll_interval
+               : now;
     if (caught_up_ && !log_has_records_)
     {
         due_ = now; // the log is empty: there is no holder
@@ -205,6 +241,8 @@
         return;
     }
     unknown_before_ = now;
+    first_of_era_.reset();
+    newest_record_era_ = 0;
     position_ = 0;
     caught_up_ = false;
     pending_append_.reset();
@@ -232,6 +270,21 @@
     due_ = now + options_.retry_interval;
 }
 
+// The claim of the writer was not read: it was deleted or lies before what is
+// read. Within an era only the holder appends. A record that was sent in an
+// earlier era may have been stored behind the claim of another VM.
+void duty_log::derive_holder(duty_record const& record)
+{
+    bool const of_this_era = era_ <= first_era || record.era == era_;
+    fence_number const fence =
+        record.claim > 0 ? fence_of(era_, record.claim - 1) : 0;
+    if (of_this_era)
+    {
+        holder_ = known_holder{record.vm, record.incarnation,
+                               fence > refused_fence_ ? fence : 0};
+    }
+}
+
 void duty_log::apply(time_point now, duty_offset offset,
                      duty_record const& record)
 {
@@ -247,8 +300,17 @@
         }
         return;
     }
+    if (!holder_)
+    {
+        derive_holder(record);
+    }
     if (record.kind == kind_value(duty_record_kind::usage))
     {
+        if (era_ > 0 && record.era == era_)
+        {
+            first_of_era_ =
+                std::min(first_of_era_.value_or(record.window), record.window);
+        }
         reported_[record.window] = record.counts;
         while (reported_.size() > remembered_windows)
         {
@@ -289,6 +351,7 @@
     position_ = *stored + 1;
     log_has_records_ = true;
     last_record_seen_at_ = now;
+    newest_record_era_ = record->era;
     due_ = now;
     apply(now, *stored, *record);
     last_stored_sent_at_ = append_sent_at_;
@@ -317,6 +380,7 @@
 
 void duty_log::on_fenced()
 {
+    refused_fence_ = holder_ ? holder_->fence : refused_fence_;
     holder_.reset();
     caught_up_ = false;
     unsent_.clear();
--- a/src/core/duty_log.hpp
+++ b/src/core/duty_log.hpp
@@ -14,6 +14,29 @@
 //     `takeover_timeout`, which is longer than lease + action_timeout.
 // So the actions of two holders are at least a lease apart, and an order that
 // is executed late carries a fence that the platform can refuse.
+//
+// A VM whose own earlier process was the last holder claims as soon as it has
+// read the log up to its end, without waiting for takeover_timeout: when all
+// VMs are killed at once, the next window would otherwise be reported late.
+// This needs no wait, since the rule keeps the actions of two different VMs
+// apart, and the holder stays the same VM:
+//   - no other VM has acted since: it would have claimed, the claim would be
+//     the newest one in the log, and then this VM waits like all others. A
+//     claim that is stored between the reading and the append moves the end;
+//   - the claim is a new record, so others wait for takeover_timeout from it;
+//   - the earlier process may only be suspended or cut off. It acts no longer
+//     than action_timeout after its newest record, its next append fails, and
+//     then it reads the claim. What it sent before carries a lower fence;
+//   - only a later incarnation claims at once, so two processes of one name do
+//     not take the duties from each other in turn. The earlier one, or a
+//     process that started with a clock set back, waits like another VM;
+//   - in a log that came back from an older copy the newest claims may be gone.
+//     Records carry the era in which they were written, and a VM claims at once
+//     only if the newest record is of the present era: then none after it was
+//     lost.
+// Such a VM has heard little from its peers yet, so a process reports nothing
+// in its first gather_time, unless the window would become late.
+//
 // An append without an answer may still be stored at any later time, so the VM
 // reads the log before its next step.
 //
@@ -27,10 +50,14 @@
 // greater than all fences of an earlier one. What a VM knows as reported stays
 // known. A window that may have been reported in a record that is gone, and
 // that this VM does not know of, is left out: a missing report is better than
-// two different ones.
+// two different ones. Windows from the first one that has a report of the
+// present era on cannot have been reported in a lost record, since the oldest
+// due window is reported first: a VM that starts later leaves out none of them.
 //
 // Cost: the holder makes one append for each report or order, each VM that
-// watches one read per poll_interval; other VMs make no calls.
+// watches one read per poll_interval. Other VMs read the log once at their
+// start and then make no calls. A VM that starts reads only the newest records:
+// each tells the holder, since within an era only the holder appends.
 #ifndef AMARANTHARCH_CORE_DUTY_LOG_HPP
 #define AMARANTHARCH_CORE_DUTY_LOG_HPP
 
@@ -70,6 +97,11 @@
     duration report_delay = std::chrono::seconds(3);
     // A window not reported this long after its end is not reported.
     duration report_due = std::chrono::seconds(10);
+    // A process that started less than this ago may lack counts of its peers:
+    // some of their messages to it, which are sent each 0.3 s.
+    duration gather_time = std::chrono::seconds(2);
+    // A report is not put off for that until less than this is left.
+    duration report_margin = std::chrono::seconds(3);
     duration retry_interval = std::chrono::milliseconds(500);
 };
 
@@ -87,7 +119,9 @@
     std::uint64_t incarnation = 0;
     window_number window = 0;
     organisation_counts counts;
-    MSGPACK_DEFINE(kind, vm, incarnation, window, counts)
+    std::uint64_t era = 0; // as the writer knew it; 0: not known
+    duty_offset claim = 0; // offset of the writer's claim plus one; 0: a claim
+    MSGPACK_DEFINE(kind, vm, incarnation, window, counts, era, claim)
 };
 
 // Requests of the duty log to its caller, who answers through the on_ members.
@@ -151,10 +185,12 @@
     // The fence to give orders with, or nothing if none may be given now.
     std::optional<fence_number> order_fence(time_point now) const;
 
+    // With an unknown claim there is no fence to act with.
     bool holds() const
     {
         return holder_ && holder_->vm == options_.vm &&
-               holder_->incarnation == options_.incarnation;
+               holder_->incarnation == options_.incarnation &&
+               holder_->fence > 0;
     }
     // The last known holder's name and fence, for log messages.
     std::string describe() const;
@@ -164,7 +200,7 @@
     {
         std::string vm;
         std::uint64_t incarnation = 0;
-        fence_number fence = 0;
+        fence_number fence = 0; // 0: its claim is not known
     };
 
     struct unsent_report
@@ -173,9 +209,11 @@
         time_point due;
     };
 
+    void derive_holder(duty_record const& record);
     void apply(time_point now, duty_offset offset, duty_record const& record);
     void append(time_point now, duty_record record, duty_sink const& emit);
     void append_order(time_point now, duty_sink const& emit);
+    bool succeeds_itself() const;
     void poll_or_claim(time_point now, duty_sink const& emit);
     bool send_report(time_point now, duty_sink const& emit);
     std::optional<window_number>
@@ -183,15 +221,21 @@
     void requeue_recent_reports(time_point now);
 
     duty_log_options options_;
+    std::optional<time_point> started_at_; // of the first tick
     std::uint64_t era_ = 0;
+    std::uint64_t newest_record_era_ = 0;
+    // The first window with a report that was recorded in the present era.
+    std::optional<window_number> first_of_era_;
     // Windows due before this time may have been reported in records that the
     // log has lost.
     time_point unknown_before_{};
     bool request_outstanding_ = false;
-    bool caught_up_ = false; // position_ is the last known end of the log
+    bool caught_up_ = false;   // position_ is the last known end of the log
+    bool end_reached_ = false; // caught up at least once since the start
     time_point due_{};
     duty_offset position_ = 0; // of the next record to read
     std::optional<known_holder> holder_;
+    fence_number refused_fence_ = 0;   // by the platform, of this VM
     time_point last_record_seen_at_{}; // when the newest record was first seen
     bool log_has_records_ = false;
     std::map<window_number, organisation_counts> reported_;
--- a/src/core/duty_log_test.cpp
+++ b/src/core/duty_log_test.cpp
@@ -41,6 +41,28 @@
     std::uint64_t era = 1;
     time_point now = start;
 
+    // An append without an answer that is stored later, if the log then still
+    // ends where the append wants it to.
+    struct late_append
+    {
+        time_point at;
+        append_duty_record what;
+    };
+    std::vector<late_append> late;
+
+    void store_late_appends()
+    {
+        for (late_append const& append : late)
+        {
+            if (append.at <= now && append.what.at == records.size())
+            {
+                records.push_back(append.what.record);
+            }
+        }
+        std::erase_if(late, [this](late_append const& append)
+                      { return append.at <= now; });
+    }
+
     // The log comes back without its last `count` records.
     void lose(std::size_t count)
     {
@@ -51,12 +73,12 @@
 
 struct vm
 {
-    vm(environment& shared, std::string name)
+    vm(environment& shared, std::string name, std::uint64_t incarnation = 1)
         : name_(std::move(name)), environment_(shared)
     {
         duty_log_options options;
         options.vm = name_;
-        options.incarnation = 1;
+        options.incarnation = incarnation;
         log = std::make_unique<duty_log>(options);
     }
 
@@ -71,7 +93,7 @@
         {
             usage.on_request_started(environment_.now, "organisation");
         }
-        log->tick(environment_.now, true, false, usage,
+        log->tick(environment_.now, watches, false, usage,
                   [this](duty_request const& what)
                   { std::visit([this](auto const& r) { answer(r); }, what); });
     }
@@ -100,6 +122,14 @@
                            absl::FailedPreconditionError("end"));
             return;
         }
+        if (delay_next_append > duration::zero())
+        {
+            environment_.late.push_back(
+                {environment_.now + delay_next_append, what});
+            delay_next_append = duration::zero();
+            log->on_append(environment_.now, absl::UnknownError("timeout"));
+            return;
+        }
         environment_.records.push_back(what.record);
         if (lose_next_answer)
         {
@@ -130,7 +160,9 @@
     std::unique_ptr<duty_log> log;
     int steps = 0;
     bool stopped = false;
+    bool watches = true;
     bool lose_next_answer = false;
+    duration delay_next_append{};
 };
 
 struct fleet
@@ -148,6 +180,7 @@
         for (time_point const end = shared.now + span; shared.now < end;
              shared.now += milliseconds(50))
         {
+            shared.store_late_appends();
             for (auto const& member : vms)
             {
                 member->step();
@@ -155,6 +188,31 @@
         }
     }
 
+    // Another process of the VM starts; an earlier one may go on.
+    vm& start_again(std::string const& name)
+    {
+        vms.push_back(std::make_unique<vm>(shared, name, ++incarnation));
+        return *vms.back();
+    }
+
+    // All processes end; each VM starts again after its time in `after`.
+    void kill_all(std::vector<duration> const& after)
+    {
+        std::vector<std::pair<time_point, std::string>> starts;
+        for (std::size_t i = 0; i < vms.size(); ++i)
+        {
+            starts.emplace_back(shared.now + after[i % after.size()],
+                                vms[i]->name_);
+        }
+        vms.clear();
+        std::sort(starts.begin(), starts.end());
+        for (auto const& [at, name] : starts)
+        {
+            run(std::max(at - shared.now, duration::zero()));
+            start_again(name);
+        }
+    }
+
     vm& holder()
     {
         return **std::find_if(vms.begin(), vms.end(),
@@ -164,6 +222,7 @@
 
     environment shared;
     std::vector<std::unique_ptr<vm>> vms;
+    std::uint64_t incarnation = 1;
 };
 
 // Whether a VM acted before and after another VM within less than `lease`.
@@ -187,6 +246,37 @@
     return false;
 }
 
+// Whether actions of two different VMs follow each other within less than
+// `lease`.
+bool switches_within(std::vector<action> const& actions, duration lease)
+{
+    return std::adjacent_find(actions.begin(), actions.end(),
+                              [lease](action const& first, action const& next) {
+                                  return first.vm != next.vm &&
+                                         next.at - first.at < lease;
+                              }) != actions.end();
+}
+
+// Whether every window that ended in `span` before `now`, but not in its last
+// ten seconds, was reported within ten seconds of its end.
+bool all_in_time(environment const& shared, time_point from)
+{
+    usage_windows const usage(window);
+    for (window_number w = usage.window_at(from);
+         usage.end_of(w) + seconds(10) <= shared.now; ++w)
+    {
+        bool const in_time = std::any_of(
+            shared.accepted.begin(), shared.accepted.end(),
+            [&](action const& a)
+            { return a.window == w && a.at < usage.end_of(w) + seconds(10); });
+        if (!in_time)
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
 std::size_t windows_reported(std::vector<action> const& actions)
 {
     std::map<window_number, organisation_counts> seen;
@@ -304,6 +394,339 @@
     }
 }
 
+BOOST_AUTO_TEST_SUITE(when_all_vms_are_killed)
+
+// Guards against the wait for takeover_timeout, which made the next window
+// late: at every moment of a window, with every order of restarts.
+BOOST_AUTO_TEST_CASE(reports_the_windows_around_it_in_time)
+{
+    std::vector<std::vector<duration>> const restarts = {
+        {seconds(1), seconds(2), seconds(3)},
+        {seconds(3), seconds(2), seconds(1)},
+        {seconds(3), seconds(3), seconds(3)},
+        {milliseconds(1'050), milliseconds(1'050), milliseconds(1'050)},
+    };
+    for (auto const& after : restarts)
+    {
+        for (int ms = 0; ms < 5'000; ms += 250)
+        {
+            fleet all(3);
+            all.run(seconds(21) + milliseconds(ms));
+            std::string const name = all.holder().name_;
+            all.kill_all(after);
+            all.run(seconds(20));
+            BOOST_TEST(all.holder().name_ == name, ms);
+            BOOST_TEST(all_in_time(all.shared, start + seconds(10)), ms);
+            BOOST_TEST(!switches_within(all.shared.accepted, seconds(3)), ms);
+            windows_reported(all.shared.accepted);
+        }
+    }
+}
+
+// Guards against a holder that does not claim because membership does not name
+// it as a watcher after its restart.
+BOOST_AUTO_TEST_CASE(resumes_at_a_vm_that_does_not_watch)
+{
+    fleet all(1);
+    all.run(seconds(21));
+    all.vms.clear();
+    all.run(seconds(1));
+    vm& again = all.start_again("0");
+    again.watches = false;
+    vm& other = all.start_again("other");
+    other.watches = false;
+    all.run(seconds(2));
+    BOOST_TEST(again.log->holds());
+    BOOST_TEST(!other.log->holds());
+}
+
+// Guards against a claim by a VM that has read only a part of the log, and
+// against a restart that takes as long as a log of hours needs to be read.
+BOOST_AUTO_TEST_CASE(finds_the_holder_in_a_log_whose_first_records_are_old)
+{
+    fleet all(1);
+    all.run(seconds(21));
+    all.vms.clear();
+    // Records of another holder precede; its claim and the present one are
+    // further back than a VM reads.
+    std::string const last = all.shared.records.back();
+    all.shared.records.resize(1'000, last);
+    vm& again = all.start_again("0");
+    all.run(seconds(1));
+    BOOST_TEST(again.log->holds());
+}
+
+// Guards against the loss of counts of peers that the new process has not heard
+// yet, and against a window that becomes late by waiting for them.
+BOOST_AUTO_TEST_CASE(waits_for_the_counts_of_peers_but_not_too_long)
+{
+    for (int ms = 0; ms < 5'000; ms += 250)
+    {
+        fleet all(1);
+        all.run(seconds(20) + milliseconds(ms));
+        std::size_t const before = all.shared.accepted.size();
+        all.vms.clear();
+        all.run(seconds(1));
+        all.start_again("0");
+        time_point const started = all.shared.now;
+        all.run(seconds(12));
+        auto const first = std::find_if(
+            all.shared.accepted.begin() + static_cast<std::ptrdiff_t>(before),
+            all.shared.accepted.end(),
+            [&](action const& a)
+            {
+                return std::none_of(all.shared.accepted.begin(),
+                                    all.shared.accepted.begin() +
+                                        static_cast<std::ptrdiff_t>(before),
+                                    [&](action const& b)
+                                    { return b.window == a.window; });
+            });
+        BOOST_REQUIRE((first != all.shared.accepted.end()));
+        BOOST_TEST((first->at >= started + seconds(2)), ms);
+        BOOST_TEST(all_in_time(all.shared, start + seconds(10)), ms);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(when_the_holder_starts_again_while_its_earlier_process)
+
+struct fault
+{
+    char const* name;
+    void (*begin)(vm& earlier);
+    void (*end)(vm& earlier);
+};
+
+// Guards against two processes of one VM that both act, or take the duties from
+// each other in turn.
+BOOST_AUTO_TEST_CASE(is_alive_suspended_or_cut_off_the_later_one_supersedes)
+{
+    std::vector<fault> const faults = {
+        {"alive", [](vm&) {},
+         [](vm&) {
+         }},
+        {"suspended", [](vm& earlier) { earlier.stopped = true; },
+         [](vm& earlier)
+         {
+             earlier.stopped = false;
+         }},
+        {"append lost", [](vm& earlier) { earlier.lose_next_answer = true; },
+         [](vm&) {
+         }},
+        {"append stored late",
+         [](vm& earlier) { earlier.delay_next_append = milliseconds(700); },
+         [](vm&) {
+         }},
+        {"append stored very late",
+         [](vm& earlier) { earlier.delay_next_append = seconds(4); },
+         [](vm&) {
+         }},
+    };
+    for (fault const& f : faults)
+    {
+        for (int ms = 0; ms < 5'000; ms += 200)
+        {
+            BOOST_TEST_CONTEXT(f.name << " at " << ms)
+            {
+                fleet all(3);
+                all.run(seconds(21) + milliseconds(ms));
+                vm& earlier = all.holder();
+                f.begin(earlier);
+                all.run(milliseconds(600));
+                vm& later = all.start_again(earlier.name_);
+                all.run(seconds(1));
+                std::size_t const resumed = all.shared.accepted.size();
+                f.end(earlier);
+                all.run(seconds(20));
+                BOOST_TEST(later.log->holds());
+                BOOST_TEST(!earlier.log->holds());
+                BOOST_TEST(!switches_within(all.shared.accepted, seconds(3)));
+                BOOST_TEST(all_in_time(all.shared, start + seconds(10)));
+                windows_reported(all.shared.accepted);
+                // The earlier process acts no more.
+                fence_number greatest = 0;
+                for (std::size_t i = resumed; i < all.shared.accepted.size();
+                     ++i)
+                {
+                    BOOST_TEST(all.shared.accepted[i].fence >= greatest);
+                    greatest = std::max(greatest, all.shared.accepted[i].fence);
+                }
+            }
+        }
+    }
+}
+
+// Guards against a claim at once by a process that is not the later one: an
+// earlier one that wakes, or one that started with a clock set back.
+BOOST_AUTO_TEST_CASE(is_the_later_one_by_its_incarnation_it_waits)
+{
+    fleet all(1);
+    all.incarnation = 10;
+    all.vms.clear();
+    all.start_again("0");
+    all.run(seconds(21));
+    all.vms.clear();
+    all.incarnation = 5;
+    vm& set_back = all.start_again("0");
+    all.run(seconds(6));
+    BOOST_TEST(!set_back.log->holds());
+    all.run(seconds(3));
+    BOOST_TEST(set_back.log->holds());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(when_a_restarted_holder_meets_another_vm)
+
+// Guards against actions of A, B and A within a lease: the other VM claims
+// because of silence at every moment around the restart of the holder.
+BOOST_AUTO_TEST_CASE(in_a_race_the_actions_of_the_two_lie_a_lease_apart)
+{
+    for (int away = 5'000; away < 14'000; away += 50)
+    {
+        fleet all(3);
+        all.run(seconds(21));
+        vm& first = all.holder();
+        std::string const name = first.name_;
+        first.stopped = true; // for good
+        all.run(milliseconds(away));
+        all.start_again(name);
+        all.run(seconds(20));
+        BOOST_TEST(!switches_within(all.shared.accepted, seconds(3)), away);
+        windows_reported(all.shared.accepted);
+    }
+}
+
+// Guards against a restarted holder that takes the duties back at once from a
+// VM that has claimed them since.
+BOOST_AUTO_TEST_CASE(that_has_claimed_since_it_waits_like_others)
+{
+    fleet all(2);
+    all.run(seconds(21));
+    vm& first = all.holder();
+    std::string const name = first.name_;
+    first.stopped = true;
+    all.run(seconds(12));
+    vm& second = all.holder().stopped ? *all.vms.back() : all.holder();
+    BOOST_TEST(second.log->holds());
+    vm& again = all.start_again(name);
+    all.run(seconds(12));
+    BOOST_TEST(!again.log->holds());
+    BOOST_TEST(second.log->holds());
+}
+
+// Guards against a claim of the other VM that is stored between the reading and
+// the append of the restarted holder, or long after it was sent.
+BOOST_AUTO_TEST_CASE(whose_claim_is_stored_late_only_one_of_them_acts)
+{
+    for (int delay = 50; delay < 4'000; delay += 50)
+    {
+        fleet all(2);
+        all.run(seconds(21));
+        vm& first = all.holder();
+        std::string const name = first.name_;
+        vm& other = &first == all.vms.front().get() ? *all.vms.back()
+                                                    : *all.vms.front();
+        first.stopped = true;
+        other.delay_next_append = milliseconds(delay);
+        all.run(seconds(9));
+        all.start_again(name);
+        all.run(seconds(30));
+        BOOST_TEST(!switches_within(all.shared.accepted, seconds(3)), delay);
+        windows_reported(all.shared.accepted);
+    }
+}
+
+// Guards against a claim at once in a log that has lost the claim of another
+// VM, which may have acted a moment ago.
+BOOST_AUTO_TEST_CASE(in_a_log_that_lost_its_claim_it_waits)
+{
+    for (std::size_t lost = 1; lost < 8; ++lost)
+    {
+        fleet all(2);
+        all.run(seconds(21));
+        vm& first = all.holder();
+        std::string const name = first.name_;
+        first.stopped = true;
+        std::size_t const known = all.shared.records.size();
+        while (all.shared.records.size() < known + lost)
+        {
+            all.run(milliseconds(50));
+        }
+        // The other VM does not come back: only the restarted one acts.
+        all.vms.clear();
+        all.shared.lose(lost);
+        vm& again = all.start_again(name);
+        all.run(seconds(6));
+        BOOST_TEST(!again.log->holds(), lost);
+        all.run(seconds(20));
+        BOOST_TEST(again.log->holds(), lost);
+        BOOST_TEST(!switches_within(all.shared.accepted, seconds(3)), lost);
+        windows_reported(all.shared.accepted);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+// Guards against a wait for ever after one loss: once a record is written in
+// the present era, a restarted holder need not wait, nor leave windows out.
+BOOST_AUTO_TEST_CASE(resumes_at_once_in_a_later_era_if_its_records_are_of_it)
+{
+    for (int ms = 0; ms < 5'000; ms += 250)
+    {
+        fleet all(3);
+        all.run(seconds(21));
+        all.shared.lose(2);
+        all.run(seconds(30) + milliseconds(ms));
+        std::string const name = all.holder().name_;
+        all.kill_all({seconds(1), seconds(2), seconds(3)});
+        all.run(seconds(20));
+        BOOST_TEST(all.holder().name_ == name, ms);
+        BOOST_TEST(all_in_time(all.shared, start + seconds(45)), ms);
+        windows_reported(all.shared.accepted);
+    }
+}
+
+// Restarts under the same name beside the earlier process, kills of all VMs,
+// suspensions, lost answers and late appends at random.
+BOOST_AUTO_TEST_CASE(keeps_its_promises_under_random_restarts)
+{
+    for (unsigned seed = 0; seed < 1'000; ++seed)
+    {
+        std::mt19937 random(seed);
+        fleet all(3);
+        all.run(seconds(11) + milliseconds(random() % 10'000));
+        for (int round = 0; round < 4; ++round)
+        {
+            std::size_t const chosen = random() % all.vms.size();
+            std::string const name = all.vms[chosen]->name_;
+            all.vms[chosen]->lose_next_answer = random() % 4 == 0;
+            all.vms[chosen]->delay_next_append =
+                milliseconds(random() % 3 == 0 ? random() % 9'000 : 0);
+            all.vms[chosen]->stopped = random() % 3 == 0;
+            all.run(milliseconds(random() % 9'000));
+            if (random() % 2 == 0)
+            {
+                all.start_again(name);
+            }
+            if (random() % 3 == 0)
+            {
+                all.kill_all({milliseconds(1'000 + random() % 2'000),
+                              milliseconds(1'000 + random() % 2'000)});
+            }
+            all.run(milliseconds(random() % 4'000));
+            for (auto const& member : all.vms)
+            {
+                member->stopped = member->stopped && random() % 2 == 0;
+            }
+        }
+        all.run(seconds(30));
+        BOOST_TEST(!switches_within(all.shared.accepted, seconds(3)), seed);
+        windows_reported(all.shared.accepted);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(forgets_a_fence_that_was_refused)
 {
     fleet all(1);
