Duty log: the holder records counts and demand once a second

When all VMs were killed at once, the counts of the window that the killed processes held were lost, and so was the demand, so that the capacity plan was blind for its warm-up.

The holder now appends a record of a new kind at most once a second, with what the log lacks of the counts by process of the windows that are not reported yet, and the demand for each service. Whoever reads the log merges the counts, by process and by the maximum, so nothing is counted twice. A new holder starts from the recorded demand, decayed by its age, where it has none of its own. An older build skips the kind and the added fields. A record has at most 64 KiB; 84 VMs with 16 organisations and 2 windows take 17,415 bytes.

--- a/src/core/duty_log.cpp
+++ b/src/core/duty_log.cpp
@@ -5,6 +5,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace amarantharch
@@ -64,9 +65,11 @@
 } // namespace
 
 void duty_log::tick(time_point now, bool watches, bool orders_wanted,
-                    usage_windows const& usage, duty_sink const& emit)
+                    usage_windows& usage, service_demand& demand,
+                    duty_sink const& emit)
 {
     started_at_ = started_at_.value_or(now);
+    merge_recorded(now, usage, demand);
     if (request_outstanding_ || now < due_)
     {
         return;
@@ -101,6 +104,62 @@
     {
         append_order(now, emit);
     }
+    else
+    {
+        append_counts(now, usage, demand, emit);
+    }
+}
+
+// Adds what the log tells to what peers told. This VM's own counts are known.
+void duty_log::merge_recorded(time_point now, usage_windows& usage,
+                              service_demand& demand)
+{
+    for (window_counts const& row : std::exchange(unmerged_, {}))
+    {
+        if (row.vm != options_.vm || row.incarnation != options_.incarnation)
+        {
+            usage.merge(now, row);
+        }
+    }
+    if (std::exchange(restores_demand_, false))
+    {
+        demand.restore(now, demand_made_at_, recorded_demand_);
+    }
+}
+
+// Records what the log lacks of the windows that are still to be reported.
+void duty_log::append_counts(time_point now, usage_windows const& usage,
+                             service_demand const& demand,
+                             duty_sink const& emit)
+{
+    if (now < next_counts_)
+    {
+        return;
+    }
+    next_counts_ = now + options_.counts_interval;
+    std::vector<window_counts> known;
+    window_number const present = usage.window_at(now);
+    constexpr auto kept =
+        static_cast<window_number>(usage_windows::kept_windows);
+    for (window_number w = present - kept; w <= present; ++w)
+    {
+        if (reportable(now, w, usage))
+        {
+            std::ranges::move(
+                usage.by_process(w, options_.vm, options_.incarnation),
+                std::back_inserter(known));
+        }
+    }
+    duty_record record;
+    record.known = pack(recorded_.missing(known), options_.max_counts_bytes);
+    if (record.known.rows.empty())
+    {
+        return;
+    }
+    record.kind = kind_value(duty_record_kind::counts);
+    record.made_at = to_micros(now);
+    record.demand = demand.rates(now);
+    append(now, std::move(record), emit);
 }
 
 void duty_log::append_order(time_point now, duty_sink const& emit)
@@ -166,6 +225,17 @@
     return true;
 }
 
+// Not reported, not too late, and not possibly reported in a lost record.
+bool duty_log::reportable(time_point now, window_number window,
+                          usage_windows const& usage) const
+{
+    time_point const end = usage.end_of(window);
+    bool const unknown = end + options_.report_delay <= unknown_before_ &&
+                         window < first_of_era_.value_or(window + 1);
+    return now < end + options_.report_due && !unknown &&
+           !reported_.contains(window);
+}
+
 // The oldest window that is due and not recorded as reported.
 std::optional<window_number>
 duty_log::next_due_window(time_point now, usage_windows const& usage) const
@@ -179,12 +249,8 @@
         time_point const gathered =
             std::min(started_at_.value_or(now) + options_.gather_time,
                      end + options_.report_due - options_.report_margin);
-        bool const due =
-            now >= std::max(end + options_.report_delay, gathered) &&
-            now < end + options_.report_due;
-        bool const unknown = end + options_.report_delay <= unknown_before_ &&
-                             w < first_of_era_.value_or(w + 1);
-        if (due && !unknown && !reported_.contains(w))
+        bool const due = now >= std::max(end + options_.report_delay, gathered);
+        if (due && reportable(now, w, usage))
         {
             return w;
         }
@@ -242,6 +308,7 @@
     }
     unknown_before_ = now;
     first_of_era_.reset();
+    recorded_.clear(); // what is not read again is written again
     newest_record_era_ = 0;
     position_ = 0;
     caught_up_ = false;
@@ -281,7 +348,7 @@
     if (of_this_era)
     {
         holder_ = known_holder{record.vm, record.incarnation,
-                               fence > refused_fence_ ? fence : 0};
+                               fence > refused_fence_ ? fence : 0, false};
     }
 }
 
@@ -290,13 +357,15 @@
 {
     if (record.kind == kind_value(duty_record_kind::claim))
     {
-        holder_ =
-            known_holder{record.vm, record.incarnation, fence_of(era_, offset)};
+        bool const resumed = holder_ && holder_->vm == record.vm;
+        holder_ = known_holder{record.vm, record.incarnation,
+                               fence_of(era_, offset), resumed};
         unsent_.clear();
         last_stored_sent_at_.reset();
         if (holds())
         {
             requeue_recent_reports(now);
+            restores_demand_ = true;
         }
         return;
     }
@@ -312,6 +381,7 @@
                 std::min(first_of_era_.value_or(record.window), record.window);
         }
         reported_[record.window] = record.counts;
+        recorded_.forget(record.window);
         while (reported_.size() > remembered_windows)
         {
             reported_.erase(reported_.begin());
@@ -322,6 +392,27 @@
                 {{record.window, record.counts, holder_->fence}, now});
         }
     }
+    if (record.kind == kind_value(duty_record_kind::counts))
+    {
+        apply_counts(record);
+    }
+}
+
+void duty_log::apply_counts(duty_record const& record)
+{
+    std::vector<window_counts> const rows = unpack(record.known);
+    recorded_.merge(rows);
+    unmerged_.insert(unmerged_.end(), rows.begin(), rows.end());
+    recorded_demand_ = record.demand;
+    demand_made_at_ = from_micros(record.made_at);
+    if (!rows.empty())
+    {
+        auto const newest = std::ranges::max(
+            rows, {}, [](window_counts const& row) { return row.window; });
+        recorded_.forget_before(
+            newest.window -
+            static_cast<window_number>(usage_windows::kept_windows));
+    }
 }
 
 // The previous holder may have recorded these reports without sending them.
@@ -396,9 +487,9 @@
 
 std::string duty_log::describe() const
 {
-    return holder_
-               ? fmt::format("holder={} fence={}", holder_->vm, holder_->fence)
-               : std::string("holder=none");
+    return holder_ ? fmt::format("holder={} fence={} resumed={}", holder_->vm,
+                                 holder_->fence, holder_->resumed)
+                   : std::string("holder=none");
 }
 
 } // namespace amarantharch
--- a/src/core/duty_log.hpp
+++ b/src/core/duty_log.hpp
@@ -43,6 +43,15 @@
 // Usage reports are recorded before they are sent, and a new holder sends the
 // recorded ones again unchanged: no window is reported with two counts.
 //
+// The holder also records the counts of the windows that are not reported yet,
+// by process, at most once a counts_interval and only what the log does not
+// hold (see recorded_usage.hpp). Each VM that reads the log adds them to what
+// its peers told it, so that the counts of killed processes are known to the
+// next holder up to their last record. The record carries the demand for each
+// service too, from which a new holder starts (see service_demand.hpp). A build
+// that does not know the kind follows the positions and skips the contents. A
+// window is still reported as its usage record says, and only as that.
+//
 // The log may come back from an older copy: its era rises, the last records are
 // gone and their offsets are given out again. Then every VM reads the log anew
 // and waits for takeover_timeout before it claims. Fences stay unique and
@@ -54,18 +63,25 @@
 // present era on cannot have been reported in a lost record, since the oldest
 // due window is reported first: a VM that starts later leaves out none of them.
 //
-// Cost: the holder makes one append for each report or order, each VM that
-// watches one read per poll_interval. Other VMs read the log once at their
-// start and then make no calls. A VM that starts reads only the newest records:
-// each tells the holder, since within an era only the holder appends.
+// Cost: the holder makes one append for each report or order, and at most one
+// more a counts_interval (a second) for the counts, while there are new ones;
+// orders within action_timeout after it need none of their own. That record has
+// at most max_counts_bytes; with 84 VMs and 16 organisations at most 17 KiB for
+// two windows. Each VM that watches makes one read per poll_interval. Other VMs
+// read the log once at their start and then make no calls. A VM that starts
+// reads only the newest records: each tells the holder, since within an era
+// only the holder appends.
 #ifndef AMARANTHARCH_CORE_DUTY_LOG_HPP
 #define AMARANTHARCH_CORE_DUTY_LOG_HPP
 
+#include "core/recorded_usage.hpp"
+#include "core/service_demand.hpp"
 #include "core/usage_windows.hpp"
 
 #include <absl/status/statusor.h>
 #include <msgpack.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -103,13 +119,18 @@
     // A report is not put off for that until less than this is left.
     duration report_margin = std::chrono::seconds(3);
     duration retry_interval = std::chrono::milliseconds(500);
+    // Least time between two records of counts.
+    duration counts_interval = std::chrono::seconds(1);
+    // Largest size of the counts in a record. The store takes 256 KiB.
+    std::size_t max_counts_bytes = std::size_t{64} << 10U;
 };
 
 enum class duty_record_kind : std::uint8_t
 {
     claim = 1,
-    usage = 2, // the counts of `window` are reported
-    order = 3, // precedes orders or the resending of a report
+    usage = 2,  // the counts of `window` are reported
+    order = 3,  // precedes orders or the resending of a report
+    counts = 4, // what is known of the windows that are not reported yet
 };
 
 struct duty_record
@@ -121,7 +142,12 @@
     organisation_counts counts;
     std::uint64_t era = 0; // as the writer knew it; 0: not known
     duty_offset claim = 0; // offset of the writer's claim plus one; 0: a claim
-    MSGPACK_DEFINE(kind, vm, incarnation, window, counts, era, claim)
+    // Of a record of counts. `made_at`: microseconds since the Unix epoch.
+    std::int64_t made_at = 0;
+    packed_counts known;
+    std::vector<service_rate> demand;
+    MSGPACK_DEFINE(kind, vm, incarnation, window, counts, era, claim, made_at,
+                   known, demand)
 };
 
 // Requests of the duty log to its caller, who answers through the on_ members.
@@ -163,9 +189,11 @@
     }
 
     // `watches`: this VM is one of those that may take over. `orders_wanted`:
-    // the caller has orders to give if this VM is the holder.
+    // the caller has orders to give if this VM is the holder. What the log
+    // tells of usage and demand is merged into `usage` and `demand`.
     void tick(time_point now, bool watches, bool orders_wanted,
-              usage_windows const& usage, duty_sink const& emit);
+              usage_windows& usage, service_demand& demand,
+              duty_sink const& emit);
 
     void on_read(time_point now, duty_batch const& batch);
     // Records before `first_retained` are deleted.
@@ -192,7 +220,8 @@
                holder_->incarnation == options_.incarnation &&
                holder_->fence > 0;
     }
-    // The last known holder's name and fence, for log messages.
+    // The last known holder's name and fence, and whether it succeeds an
+    // earlier process of the same VM, for log messages.
     std::string describe() const;
 
 private:
@@ -201,6 +230,7 @@
         std::string vm;
         std::uint64_t incarnation = 0;
         fence_number fence = 0; // 0: its claim is not known
+        bool resumed = false;   // an earlier process of the VM held before
     };
 
     struct unsent_report
@@ -211,11 +241,18 @@
 
     void derive_holder(duty_record const& record);
     void apply(time_point now, duty_offset offset, duty_record const& record);
+    void apply_counts(duty_record const& record);
     void append(time_point now, duty_record record, duty_sink const& emit);
     void append_order(time_point now, duty_sink const& emit);
     bool succeeds_itself() const;
     void poll_or_claim(time_point now, duty_sink const& emit);
     bool send_report(time_point now, duty_sink const& emit);
+    void merge_recorded(time_point now, usage_windows& usage,
+                        service_demand& demand);
+    void append_counts(time_point now, usage_windows const& usage,
+                       service_demand const& demand, duty_sink const& emit);
+    bool reportable(time_point now, window_number window,
+                    usage_windows const& usage) const;
     std::optional<window_number>
     next_due_window(time_point now, usage_windows const& usage) const;
     void requeue_recent_reports(time_point now);
@@ -244,6 +281,12 @@
     // When this VM sent the newest of its records that is known to be stored.
     std::optional<time_point> last_stored_sent_at_;
     std::deque<unsent_report> unsent_;
+    recorded_usage recorded_;
+    std::vector<window_counts> unmerged_; // read, and not yet merged
+    std::vector<service_rate> recorded_demand_;
+    time_point demand_made_at_{};
+    bool restores_demand_ = false; // this VM became the holder
+    time_point next_counts_{};
 };
 
 } // namespace amarantharch
--- a/src/core/fleet_duties.cpp
+++ b/src/core/fleet_duties.cpp
@@ -33,6 +33,7 @@
                                   requests.demand());
     }
     log_.tick(now, watches, !orders.empty(), requests.started_usage(),
+              requests.demand(),
               [this](duty_request const& request)
               { std::visit([this](auto const& r) { emit_(r); }, request); });
     auto const fence = log_.order_fence(now);
--- a/src/core/service_demand.cpp
+++ b/src/core/service_demand.cpp
@@ -44,6 +44,13 @@
     c.sampled_at = now;
 }
 
+// What remains of an estimate after a time.
+double service_demand::decay(double seconds) const
+{
+    return std::exp(-seconds /
+                    std::chrono::duration<double>(options_.decay_time).count());
+}
+
 void service_demand::tick(time_point now)
 {
     if (now < sampled_at_ + options_.sample_interval)
@@ -59,8 +66,7 @@
     std::erase_if(
         peers_, [&](auto const& entry)
         { return now - entry.second.heard_at > options_.peer_timeout; });
-    double const kept = std::exp(
-        -span / std::chrono::duration<double>(options_.decay_time).count());
+    double const kept = decay(span);
     for (auto& [service, known] : estimates_)
     {
         known.rate = std::max(known.rate * kept, current_rate(now, service));
@@ -103,6 +109,45 @@
     return known->second.rate;
 }
 
+std::vector<service_rate> service_demand::rates(time_point now) const
+{
+    std::vector<service_rate> result;
+    for (auto const& [service, known] : estimates_)
+    {
+        if (auto const tokens = rate(now, service))
+        {
+            result.push_back(
+                {service, static_cast<std::uint64_t>(std::llround(*tokens))});
+        }
+    }
+    return result;
+}
+
+void service_demand::restore(time_point now, time_point made_at,
+                             std::vector<service_rate> const& earlier)
+{
+    // The clocks of two VMs may differ.
+    duration const age = std::max(now - made_at, duration::zero());
+    if (age > options_.max_restored_age)
+    {
+        return;
+    }
+    if (sampled_at_ == time_point{})
+    {
+        sampled_at_ = now; // the next tick decays only from here on
+    }
+    double const kept = decay(std::chrono::duration<double>(age).count());
+    for (service_rate const& row : earlier)
+    {
+        if (!rate(now, row.service))
+        {
+            estimates_[row.service] = {
+                now - options_.warm_up,
+                static_cast<double>(row.tokens_per_second) * kept};
+        }
+    }
+}
+
 demand_report service_demand::report(std::string vm,
                                      std::uint64_t incarnation) const
 {
--- a/src/core/service_demand.hpp
+++ b/src/core/service_demand.hpp
@@ -10,6 +10,12 @@
 // The estimate follows a rise within seconds and decays over `decay_time`, so
 // that capacity is not removed between two waves of load.
 //
+// A VM that takes over the fleet's duties after all VMs were killed starts from
+// the estimate that the duty log holds, decayed by its age, until its own
+// warm-up is over; it then takes the greater of the two, as after any peak. An
+// estimate older than max_restored_age is ignored: decayed to little, it would
+// have the capacity plan take upstreams away.
+//
 // Cost: O(1) a request, O(VMs) a tick; memory: VMs times services.
 #ifndef AMARANTHARCH_CORE_SERVICE_DEMAND_HPP
 #define AMARANTHARCH_CORE_SERVICE_DEMAND_HPP
@@ -38,6 +44,8 @@
     duration warm_up = std::chrono::seconds(4);
     // Time constant of the decay: the estimate falls to 1/e of a peak in it.
     duration decay_time = std::chrono::seconds(80);
+    // A record of an earlier estimate is not used if it is older.
+    duration max_restored_age = std::chrono::seconds(20);
     // A peer without a report for this long is dropped.
     duration peer_timeout = std::chrono::seconds(5);
 };
@@ -50,6 +58,14 @@
     MSGPACK_DEFINE(service, tokens)
 };
 
+// The estimated load of one service over all VMs.
+struct service_rate
+{
+    std::string service;
+    std::uint64_t tokens_per_second = 0;
+    MSGPACK_DEFINE(service, tokens_per_second)
+};
+
 // Gossiped. Of one VM, the greatest (incarnation, tokens) is the newest.
 struct demand_report
 {
@@ -83,6 +99,13 @@
     std::optional<double> rate(time_point now,
                                std::string const& service) const;
 
+    // The estimates that are past the warm-up.
+    std::vector<service_rate> rates(time_point now) const;
+    // Estimates that another process made at `made_at`. Each is used only if
+    // there is none of this process yet.
+    void restore(time_point now, time_point made_at,
+                 std::vector<service_rate> const& earlier);
+
     demand_report report(std::string vm, std::uint64_t incarnation) const;
     void merge(time_point now, demand_report const& peer);
 
@@ -111,6 +134,7 @@
     };
 
     void sample(time_point now, counter& c) const;
+    double decay(double seconds) const;
     double current_rate(time_point now, std::string const& service) const;
 
     service_demand_options options_;
--- a/src/core/service_demand_test.cpp
+++ b/src/core/service_demand_test.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <cmath>
 #include <string>
 
 namespace amarantharch
@@ -87,6 +88,39 @@
     BOOST_TEST(vms.rate() < 5'500);
 }
 
+// Guards against a plan without any demand during the warm-up, and against an
+// old estimate that is taken for the present one.
+BOOST_AUTO_TEST_CASE(starts_from_an_earlier_estimate_decayed_by_its_age)
+{
+    fleet vms;
+    vms.here.restore(vms.now, vms.now - seconds(8), {{"pool", 1'000}});
+    BOOST_TEST(vms.rate() == 1'000 * std::exp(-0.1),
+               boost::test_tools::tolerance(0.001));
+    vms.run(1'000, seconds(20));
+    BOOST_TEST(vms.rate() == 5'000, boost::test_tools::tolerance(0.05));
+
+    fleet late;
+    late.here.restore(late.now, late.now - seconds(21), {{"pool", 1'000}});
+    BOOST_TEST(!late.here.rate(late.now, "pool").has_value());
+}
+
+// Guards against a recorded estimate that replaces one of this process, and
+// against one from a clock ahead that grows.
+BOOST_AUTO_TEST_CASE(prefers_its_own_estimate_to_an_earlier_one)
+{
+    fleet vms;
+    vms.run(1'000, seconds(20));
+    double const own = vms.rate();
+    vms.here.restore(vms.now, vms.now, {{"pool", 90'000}});
+    BOOST_TEST(vms.rate() == own);
+
+    fleet ahead;
+    ahead.here.restore(ahead.now, ahead.now + seconds(5), {{"pool", 1'000}});
+    BOOST_TEST(ahead.rate() == 1'000);
+    BOOST_TEST(ahead.here.rates(ahead.now).size() == 1u);
+    BOOST_TEST(ahead.here.rates(ahead.now).front().tokens_per_second == 1'000u);
+}
+
 BOOST_AUTO_TEST_CASE(bears_reports_that_are_late_repeated_or_of_a_new_process)
 {
     fleet vms;
--- a/src/core/usage_windows.cpp
+++ b/src/core/usage_windows.cpp
@@ -66,6 +66,25 @@
     forget_old_windows(now);
 }
 
+std::vector<window_counts>
+usage_windows::by_process(window_number window, std::string const& vm,
+                          std::uint64_t incarnation) const
+{
+    std::vector<window_counts> rows;
+    if (auto const own = own_.find(window); own != own_.end())
+    {
+        rows.push_back({vm, incarnation, window, own->second});
+    }
+    if (auto const peers = peers_.find(window); peers != peers_.end())
+    {
+        for (auto const& [name, counts] : peers->second)
+        {
+            rows.push_back({name.first, name.second, window, counts});
+        }
+    }
+    return rows;
+}
+
 organisation_counts usage_windows::total(window_number window) const
 {
     organisation_counts sum;
--- a/src/core/usage_windows.hpp
+++ b/src/core/usage_windows.hpp
@@ -59,6 +59,11 @@
                                       std::uint64_t incarnation) const;
     void merge(time_point now, window_counts const& peer);
 
+    // The counts of all processes in the window, as known here. This VM's own
+    // carry `vm` and `incarnation`.
+    std::vector<window_counts> by_process(window_number window,
+                                          std::string const& vm,
+                                          std::uint64_t incarnation) const;
     // The sum over all VMs, as known here.
     organisation_counts total(window_number window) const;
 
--- a/src/core/usage_windows_test.cpp
+++ b/src/core/usage_windows_test.cpp
@@ -56,6 +56,24 @@
     BOOST_TEST(here.total(200)["a"] == 7u);
 }
 
+// Guards against counts of one process that are recorded as another's.
+BOOST_AUTO_TEST_CASE(names_the_process_of_each_count)
+{
+    usage_windows usage(length);
+    usage.on_request_started(start, "a");
+    usage.merge(start, {"there", 1, 200, {{"a", 4}}});
+    usage.merge(start, {"there", 2, 200, {{"a", 3}}});
+    auto const rows = usage.by_process(200, "here", 9);
+    BOOST_REQUIRE(rows.size() == 3u);
+    BOOST_TEST(rows[0].vm == "here");
+    BOOST_TEST(rows[0].incarnation == 9u);
+    BOOST_TEST(rows[0].counts.at("a") == 1u);
+    BOOST_TEST(rows[1].incarnation == 1u);
+    BOOST_TEST(rows[1].counts.at("a") == 4u);
+    BOOST_TEST(rows[2].counts.at("a") == 3u);
+    BOOST_TEST(usage.by_process(201, "here", 9).empty());
+}
+
 BOOST_AUTO_TEST_CASE(forgets_old_windows)
 {
     usage_windows usage(length);
