--- a/src/core/routing.hpp
+++ b/src/core/routing.hpp
@@ -170,6 +170,10 @@
     double queued_tokens(time_point now, upstream_index upstream,
                          upstream_row const& row) const;
 
+    // Requests at the upstream, running and waiting, per slot: by its last
+    // report and what was sent since.
+    double load_of(upstream_index upstream, upstream_row const& row) const;
+
     prefix_cache const& cache() const
     {
         return cache_;
@@ -239,7 +243,6 @@
                             upstream_table const& table,
                             std::vector<upstream_index> const& exclusions);
     double requests_at(upstream_index upstream, upstream_row const& row) const;
-    double load_of(upstream_index upstream, upstream_row const& row) const;
     double slot_wait_ms(time_point now, upstream_index upstream,
                         upstream_row const& row) const;
     // Factor from this VM's changes since a report to those of all VMs.
