Requests: hold and reject by load shedding; full upstreams get no more

dispatch asks load_shedding before each attempt, and held requests are tried again each 20 ms, by rank after ageing and least slack. A rejection with 503 for want of room marks the upstream as full until a newer load is heard, and its Retry-After is the predicted time until there is room instead of 1 s. Services whose routes have one priority, and loads that are unknown or older than 3 s, change nothing. Lines request_held and request_shed give the inputs.

--- a/src/core/request_attempts.cpp
+++ b/src/core/request_attempts.cpp
@@ -17,6 +17,7 @@
 constexpr int http_ok = 200;
 constexpr int http_server_error = 500;
 constexpr int bad_gateway = 502;
+constexpr int service_unavailable = 503;
 constexpr duration no_upstream_retry_after = std::chrono::seconds(1);
 constexpr std::string_view upstream_error = "upstream_error";
 constexpr std::string_view stream_cut = "stream_cut";
@@ -278,6 +279,10 @@
         wait_for_upstream(now, r); // it will be known soon which way is open
         return;
     }
+    if (is_held_on(now, r))
+    {
+        return;
+    }
     std::optional<std::string> relay;
     if (reach_.partitioned() && members_ != nullptr)
     {
@@ -309,10 +314,15 @@
                retry_after_of(now, r.route.service));
         return;
     }
+    if (hold_or_reject(now, r, *chosen))
+    {
+        return;
+    }
     end_wait_for_turn(r);
     r.current_stage = stage::running;
     r.attempt = next_attempt_++;
     r.attempt_started = now;
+    r.lacked_room = false;
     r.upstream = chosen->upstream;
     r.upstream_incarnation = upstreams_.row(r.upstream).incarnation;
     r.relay = reach_.reaches(r.upstream) ? std::string() : relay.value_or("");
@@ -456,6 +466,11 @@
     {
         spare_brittle(now, r.upstream, r.upstream_incarnation);
     }
+    if (not_run && what.status == service_unavailable &&
+        !metadata.notice.pause && !metadata.notice.leaving)
+    {
+        mark_full(now, r, metadata.load);
+    }
     add_timeline_entry(
         "attempt_declined", r.request.id,
         fmt::format("attempt={} status={}", what.attempt, what.status));
@@ -585,6 +600,7 @@
     r.answer_bytes += out.size();
     if (!out.empty())
     {
+        note_first_event(now, r);
         record_begun_answer(now, r);
     }
     if (!out.empty() && r.caller_waits)
@@ -616,6 +632,7 @@
     r.answer_bytes += out.size();
     if (!out.empty())
     {
+        note_first_event(now, r);
         record_begun_answer(now, r);
         emit_(answer_piece{r.request.id, std::move(out)});
     }
@@ -721,7 +738,8 @@
     }
     int const status =
         r.run == verdict::not_run ? options_.not_run_status : bad_gateway;
-    refuse(now, r, status, reason, failure_retry_after);
+    refuse(now, r, status, reason,
+           r.lacked_room ? room_retry_after(now, r) : failure_retry_after);
 }
 
 bool request_path::schedule_retry(time_point now, row& r, retry_cause cause)
--- a/src/core/request_endings.cpp
+++ b/src/core/request_endings.cpp
@@ -89,6 +89,7 @@
 void request_path::remove(time_point now, row& r)
 {
     end_wait_for_turn(r);
+    end_hold(r);
     if (r.admitted)
     {
         std::uint32_t const tokens = charged_tokens(
@@ -163,6 +164,10 @@
     {
         admission_of(r.route.service).abandon(r.request.id);
     }
+    if (r.held_since)
+    {
+        ++shed_requests_[r.urgency].expired;
+    }
     refuse(now, r, status, std::move(reason), failure_retry_after);
 }
 
--- a/src/core/request_path.cpp
+++ b/src/core/request_path.cpp
@@ -103,6 +103,7 @@
         }
     }
     tables_ = std::move(tables);
+    refresh_ranks();
     for (organisation_spec const& organisation : tables_->organisations)
     {
         quotas_.configure(now, organisation.name, organisation.quota);
@@ -123,6 +124,7 @@
     if (index)
     {
         upstreams_.remove(name, upstreams_.row(*index).incarnation);
+        full_since_.erase(*index);
         router_.on_upstream_reset(*index);
         outliers_.on_upstream_reset(*index);
         crash_detector_.on_upstream_reset(*index);
@@ -302,6 +304,7 @@
     }
     row& r = rows_[request.id];
     r.request = request;
+    r.received = now;
     r.organisation = *organisation;
     r.route = *route;
     r.route.service = service_of(*route, request.id);
@@ -581,6 +584,8 @@
     r.organisation = what.call.organisation;
     r.route = *route;
     r.priority = class_of(route->priority);
+    r.urgency = urgency_of(r.organisation, r.route);
+    r.received = now;
     r.deadline = now + route->timeout;
     r.ledger_run = what.run;
     r.caller_waits = false;
@@ -644,6 +649,7 @@
     auto const known = upstreams_.find(name);
     if (known && what.incarnation > upstreams_.row(*known).incarnation)
     {
+        full_since_.erase(*known);
         router_.on_upstream_reset(*known);
         outliers_.on_upstream_reset(*known);
         crash_detector_.on_upstream_reset(*known);
@@ -762,6 +768,7 @@
     part_quarantine_.tick(now);
     demand_.tick(now);
     watch_connections(now);
+    end_full_marks(now);
     if (listed_position_ != used_position_ && now >= shrink_due_)
     {
         use_fleet_position(now, listed_position_);
@@ -787,12 +794,14 @@
         past_deadline ? expire(now, r, 504, "deadline_passed")
                       : expire(now, r, 503, "stopping");
     }
-    // Turns at upstreams with limits go to the most urgent first.
+    // Turns at upstreams with limits, and room, go to the most urgent first,
+    // and of these to the one with the least slack.
     std::ranges::stable_sort(due, {},
-                             [this](request_id const& id)
+                             [this, now](request_id const& id)
                              {
                                  row const& r = rows_.at(id);
-                                 return std::pair(r.urgency, r.deadline);
+                                 return std::pair(rank_in_queue(now, r),
+                                                  r.deadline - r.predicted);
                              });
     for (request_id const& id : due)
     {
--- a/src/core/request_path.hpp
+++ b/src/core/request_path.hpp
@@ -32,6 +32,7 @@
 #include "core/event.hpp"
 #include "core/event_relay.hpp"
 #include "core/ledger.hpp"
+#include "core/load_shedding.hpp"
 #include "core/move_table.hpp"
 #include "core/outlier.hpp"
 #include "core/peer_update.hpp"
@@ -70,6 +71,7 @@
     // Of all bodies, each with its copy on the way to an upstream.
     std::size_t max_request_bytes = std::size_t{64} << 20;
     admission_options admission;
+    load_shedding_options shedding;
     routing_options routing;
     retry_budget_options retries;
     outlier_options outliers;
@@ -295,6 +297,12 @@
         return ledger_;
     }
 
+    // What load shedding has done, by rank.
+    std::map<std::uint8_t, shedding_counts> const& shed_requests() const
+    {
+        return shed_requests_;
+    }
+
     std::size_t requests_in_flight() const
     {
         return rows_.size();
@@ -370,6 +378,15 @@
         bool runs_alone = false; // no other request may run on its upstream
         // Waits until then at most for a turn at an upstream with a limit.
         std::optional<time_point> waits_for_turn_until;
+        time_point received;
+        // While load shedding holds it; see load_shedding.
+        std::optional<time_point> held_since;
+        time_point held_until;
+        duration predicted{}; // to the first event, when last decided
+        // Of the service when the attempt was sent; 0: unknown, or the first
+        // event has come.
+        double occupancy_when_sent = 0;
+        bool lacked_room = false; // the last upstream rejected it for this
         // Marks that its prompt's parts had when the attempt was sent.
         std::vector<part_clearance> part_marks;
     };
@@ -430,6 +447,30 @@
     void wait_for_upstream(time_point now, row& r);
     bool wait_for_turn(time_point now, row& r);
     void end_wait_for_turn(row& r);
+    // Load shedding.
+    void refresh_ranks();
+    load_shedding& shedding_of(std::string const& service);
+    // Occupancy of a service as this VM knows it, for load shedding.
+    struct occupancy_estimate
+    {
+        double mean = 0;
+        double least = 0; // of one upstream
+    };
+    std::optional<occupancy_estimate>
+    occupancy_of(time_point now, std::string const& service) const;
+    double occupancy_at(time_point now, upstream_index upstream) const;
+    bool is_full(time_point now, upstream_index upstream) const;
+    void mark_full(time_point now, row& r, std::optional<answer_load> load);
+    void end_full_marks(time_point now);
+    shedding_question question_of(time_point now, row const& r) const;
+    bool is_held_on(time_point now, row& r);
+    bool hold_or_reject(time_point now, row& r, choice const& chosen);
+    bool carry_out(time_point now, row& r, shedding_question const& question,
+                   shedding_decision const& decision);
+    void end_hold(row& r);
+    void note_first_event(time_point now, row& r);
+    std::uint8_t rank_in_queue(time_point now, row const& r) const;
+    duration room_retry_after(time_point now, row const& r);
     void hear_answer(time_point now, leaving_upstream const& from,
                      answer_metadata const& metadata);
     void spare_brittle(time_point now, upstream_index upstream,
@@ -488,7 +529,11 @@
     command_sink emit_;
     record_appender append_;
     std::shared_ptr<routing_tables const> tables_;
-    std::map<std::string, admission> admissions_; // by service
+    std::map<std::string, admission> admissions_;    // by service
+    std::map<std::string, load_shedding> sheddings_; // by service
+    std::map<std::uint8_t, shedding_counts> shed_requests_;
+    // Upstreams that rejected a request for want of room, and when.
+    std::map<upstream_index, time_point> full_since_;
     upstream_table upstreams_;
     router router_;
     retry_budget retries_;
