--- a/src/app/metrics.cpp
+++ b/src/app/metrics.cpp
@@ -61,6 +61,26 @@
      "Tokens that an engine computed again."},
 };
 
+// The counts of load shedding by rank; the core keeps the totals.
+struct shedding_series
+{
+    std::string_view name;
+    std::string_view help;
+    std::uint64_t shedding_counts::*count;
+};
+
+constexpr shedding_series shedding_gauges[] = {
+    {"shedding_held", "Requests held by load shedding since the start.",
+     &shedding_counts::held},
+    {"shedding_rejected", "Requests rejected by load shedding since the start.",
+     &shedding_counts::rejected},
+    {"shedding_expired",
+     "Requests that reached their deadline while held, since the start.",
+     &shedding_counts::expired},
+    {"shedding_waiting", "Requests that load shedding holds now.",
+     &shedding_counts::waiting},
+};
+
 prometheus::Histogram::BucketBoundaries const latency_seconds{
     0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2,
     0.5,   0.7,   1,     2,    5,    10,   30,  60};
@@ -182,6 +202,19 @@
         .Increment();
 }
 
+void metrics::set_shedding(std::uint8_t rank, shedding_counts const& counts)
+{
+    for (shedding_series const& row : shedding_gauges)
+    {
+        prometheus::BuildGauge()
+            .Name(full_name(row.name))
+            .Help(std::string(row.help))
+            .Register(impl_->registry_)
+            .Add({{"rank", fmt::to_string(rank)}})
+            .Set(static_cast<double>(counts.*row.count));
+    }
+}
+
 void metrics::decision_took(std::string_view decision, duration spent)
 {
     impl_->decisions_
--- a/src/app/metrics.hpp
+++ b/src/app/metrics.hpp
@@ -5,6 +5,7 @@
 #ifndef AMARANTHARCH_APP_METRICS_HPP
 #define AMARANTHARCH_APP_METRICS_HPP
 
+#include "core/load_shedding.hpp"
 #include "core/time.hpp"
 #include "core/verdict.hpp"
 
@@ -63,6 +64,9 @@
     // An attempt at `upstream` (a configured name) ended without an answer.
     void attempt_failed(std::string_view upstream, verdict run);
 
+    // What load shedding has done with the requests of a rank since the start.
+    void set_shedding(std::uint8_t rank, shedding_counts const& counts);
+
     // A decision of kind `decision` took `spent` of processor time.
     void decision_took(std::string_view decision, duration spent);
 
--- a/src/app/metrics_test.cpp
+++ b/src/app/metrics_test.cpp
@@ -17,6 +17,8 @@
     subject.request_refused("no_upstream", verdict::not_run);
     subject.attempt_failed("desk-1", verdict::may_have_run);
     subject.decision_took("route", duration(4));
+    subject.set_shedding(2, {5, 1, 0, 3});
+    subject.set_shedding(2, {7, 1, 0, 4});
     std::string const text = subject.text();
     for (
         char const* line : {
@@ -26,6 +28,8 @@
             R"(amarantharch_requests_refused_total{reason="no_upstream",verdict="not_run"} 1)",
             R"(amarantharch_attempts_failed_total{upstream="desk-1",verdict="may_have_run"} 1)",
             R"(amarantharch_first_byte_seconds_bucket{route="claims",le="0.005"} 1)",
+            R"(amarantharch_shedding_held{rank="2"} 7)",
+            R"(amarantharch_shedding_waiting{rank="2"} 4)",
             R"(amarantharch_decision_seconds_bucket{decision="route",le="5e-06"} 1)",
         })
     {
--- a/src/app/server.cpp
+++ b/src/app/server.cpp
@@ -929,6 +929,10 @@
             static_cast<double>(node_.control().members().fleet_size()));
         metrics_.set(gauge_name::log_reachable,
                      node_.control().log().reachable() ? 1 : 0);
+        for (auto const& [rank, counts] : node_.requests().shed_requests())
+        {
+            metrics_.set_shedding(rank, counts);
+        }
         return metrics_.text();
     };
     handlers.configuration = [this]
