--- a/src/core/load_shedding.cpp
+++ b/src/core/load_shedding.cpp
@@ -69,8 +69,7 @@
 {
     ranks_ = std::move(ranks);
     std::ranges::sort(ranks_);
-    auto const repeated = std::ranges::unique(ranks_);
-    ranks_.erase(repeated.begin(), repeated.end());
+    ranks_.erase(std::unique(ranks_.begin(), ranks_.end()), ranks_.end());
 }
 
 void load_shedding::on_occupancy(time_point now, double occupancy)
@@ -223,8 +222,8 @@
         options_.target_share >= target_use_ * options_.assumed_limit;
     bool const upstream_full =
         what.upstream_full || (limit_ && what.upstream_occupancy >= *limit_);
-    bool const has_room = decision.occupancy < decision.threshold ||
-                          unbounded || first_was_held;
+    bool const has_room =
+        decision.occupancy < decision.threshold || unbounded || first_was_held;
     if (!upstream_full && has_room)
     {
         return decision;
