--- a/src/app/server.cpp
+++ b/src/app/server.cpp
@@ -940,6 +940,10 @@
         metrics_.set(gauge_name::work_time_lowest, speeds.lowest);
         metrics_.set(gauge_name::work_time_median, speeds.median);
         metrics_.set(gauge_name::work_time_highest, speeds.highest);
+        for (auto const& [rank, counts] : node_.requests().shed_requests())
+        {
+            metrics_.set_shedding(rank, counts);
+        }
         return metrics_.text();
     };
     handlers.configuration = [this]
