Capacity plan: no more upstreams than the requests in progress need; routing: the price of prompt parts computed again

The plan took every engine to be as slow as the slowest known and ordered 133 for a load that 40 bear. Where the upstreams report their requests in progress, it now asks for no more than these need.

--- a/src/core/capacity_plan.cpp
+++ b/src/core/capacity_plan.cpp
@@ -69,6 +69,46 @@
            (slots + options_.half_saturation_slots);
 }
 
+// Upstreams that are needed for the requests in progress; nothing if too few
+// upstreams report them.
+std::optional<double>
+capacity_plan::needed_by_requests(time_point now, std::string const& service,
+                                  upstream_table const& upstreams,
+                                  size_row& size) const
+{
+    double requests = 0;
+    double slots = 0;
+    double reporting = 0;
+    auto const& present = upstreams.ring(service);
+    for (auto const& point : present)
+    {
+        upstream_row const& each = upstreams.row(point.upstream);
+        if (each.report &&
+            now - each.report->measured_at <= options_.max_report_age)
+        {
+            ++reporting;
+            requests += static_cast<double>(each.report->running) +
+                        each.report->waiting;
+            slots += each.profile.slots;
+        }
+    }
+    auto const listed = static_cast<double>(present.size());
+    if (slots <= 0 || reporting < options_.min_reporting_share * listed)
+    {
+        return std::nullopt;
+    }
+    double const kept =
+        size.in_progress *
+        std::exp(-std::chrono::duration<double>(now - size.in_progress_at) /
+                 std::chrono::duration<double>(options_.progress_decay));
+    size.in_progress = std::max(kept, requests);
+    size.in_progress_at = now;
+    double const mean_slots = slots / reporting;
+    double const aim = options_.max_requests_in_progress * mean_slots /
+                       (mean_slots + options_.half_saturation_slots);
+    return size.in_progress / aim;
+}
+
 // The largest number that serves in any one domain; 0 until the list has
 // settled. The largest, because a domain that has just lost its upstreams says
 // nothing about the need.
@@ -125,6 +165,13 @@
                  static_cast<double>(scaling.prices.size()) /
                  static_cast<double>(domains);
     }
+    auto const by_requests =
+        needed_by_requests(now, scaling.service, upstreams, size);
+    if (rate && listed && by_requests)
+    {
+        auto const domains = static_cast<double>(scaling.prices.size());
+        needed = std::min(needed, *by_requests / domains);
+    }
     if (needed > size.each)
     {
         size.raised_at = now;
--- a/src/core/capacity_plan.hpp
+++ b/src/core/capacity_plan.hpp
@@ -1,11 +1,14 @@
 // Decides how many upstreams of each kind run in each failure domain.
 //
 // The number follows the offered load, divided by the throughput of one
-// upstream. Before the load is known, as many are kept as are listed once the
-// list has settled: upstreams that start together appear in it one by one. The
-// number is raised at once. It is lowered only when it would drop by much, and
-// some time after it was last raised, since an upstream that starts again has
-// an empty cache.
+// upstream. That throughput is of the slowest upstreams known, so the plan asks
+// for no more than the requests in progress need, where the upstreams report
+// them: by Little's law they are the load times the time that the upstreams
+// really take. Before the load is known, as many are kept as are listed once
+// the list has settled: upstreams that start together appear in it one by one.
+// The number is raised at once. It is lowered only when it would drop by much,
+// and some time after it was last raised, since an upstream that starts again
+// has an empty cache.
 //
 // Reclaimable upstreams cost a fraction of the on-demand ones, but the platform
 // may reclaim all those of a failure domain at once, with seconds of notice,
@@ -62,6 +65,16 @@
     // With this many slots an upstream reaches half of that: the time of a
     // step hardly depends on the batch, it grows by 0.1 ms a request.
     double half_saturation_slots = 13;
+    // Requests in progress at an upstream with unlimited slots that the plan
+    // aims at; half of it at half_saturation_slots. With more, prompts wait for
+    // each other: on engines with 16 slots this is a third of the slots.
+    double max_requests_in_progress = 10;
+    // Reports older than this do not count. The requests in progress are known
+    // if at least this share of the upstreams has newer ones.
+    duration max_report_age = std::chrono::milliseconds(2'500);
+    double min_reporting_share = 0.7;
+    // Time constant by which the estimate of the requests in progress falls.
+    duration progress_decay = std::chrono::seconds(30);
     // Least share of a domain's upstreams that are on-demand, that is not
     // reclaimable.
     double on_demand_share = 0.2;
@@ -130,6 +143,8 @@
         time_point raised_at{};
         std::size_t listed = 0; // upstreams, unchanged since listed_since
         time_point listed_since{};
+        double in_progress = 0; // requests at all upstreams; decays
+        time_point in_progress_at{};
     };
 
     std::uint32_t plan_each(time_point now, scaling_spec const& scaling,
@@ -139,6 +154,10 @@
                               upstream_table const& upstreams, size_row& size);
     double tokens_per_second(upstream_table const& upstreams,
                              std::string const& service) const;
+    std::optional<double> needed_by_requests(time_point now,
+                                             std::string const& service,
+                                             upstream_table const& upstreams,
+                                             size_row& size) const;
     bool is_due(time_point now, upstream_order const& order,
                 std::uint32_t serving, duration boot_time) const;
     static std::uint32_t serving(upstream_table const& upstreams,
--- a/src/core/capacity_plan_test.cpp
+++ b/src/core/capacity_plan_test.cpp
@@ -101,6 +101,35 @@
         }
     }
 
+    // Every upstream reports its part of `requests` in progress.
+    void report(double requests)
+    {
+        auto const& present = upstreams.ring("pool");
+        for (auto const& point : present)
+        {
+            upstream_report load;
+            load.measured_at = now;
+            load.running = static_cast<std::uint32_t>(
+                requests / static_cast<double>(present.size()));
+            upstreams.row(point.upstream).report = load;
+        }
+    }
+
+    // The same as run_plan while `requests` are in progress.
+    void run_reporting(double requests, duration span)
+    {
+        for (time_point const end = now + span; now < end;)
+        {
+            report(requests);
+            run_plan(seconds(1));
+        }
+    }
+
+    std::uint32_t running_in(std::string const& domain) const
+    {
+        return running(domain, true) + running(domain, false);
+    }
+
     std::uint32_t running(std::string const& domain, bool reclaimable) const
     {
         std::uint32_t count = 0;
@@ -332,6 +361,66 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(sized_by_the_requests_in_progress)
+
+// Guards against paying for upstreams that are idle because they are faster
+// than the plan takes them to be.
+BOOST_AUTO_TEST_CASE(asks_for_no_more_than_they_need)
+{
+    fleet_simulation fleet;
+    fleet.run_reporting(22, seconds(60));
+    BOOST_TEST(fleet.running_in("asan") == 2u);
+    BOOST_TEST(fleet.running_in("patan") == 2u);
+}
+
+// Guards against a plan that falls behind a burst, which first shows as
+// requests that wait at the upstreams.
+BOOST_AUTO_TEST_CASE(grows_at_once_when_requests_wait_there)
+{
+    fleet_simulation fleet;
+    fleet.run_reporting(22, seconds(60));
+    fleet.report(50);
+    fleet.run_plan(seconds(1));
+    BOOST_TEST(fleet.plan.planned_each("pool") == 5u);
+}
+
+// Guards against giving capacity up in the trough of a wave.
+BOOST_AUTO_TEST_CASE(does_not_shrink_in_a_short_trough)
+{
+    fleet_simulation fleet;
+    fleet.run_reporting(50, seconds(60));
+    BOOST_TEST(fleet.running_in("asan") == 5u);
+    fleet.run_reporting(10, seconds(5));
+    BOOST_TEST(fleet.running_in("asan") == 5u);
+}
+
+// Guards against ordering by a few upstreams that happen to be idle, when the
+// reports of the others are missing, as after the loss of the VMs that read
+// them.
+BOOST_AUTO_TEST_CASE(follows_the_offered_load_while_few_report)
+{
+    fleet_simulation fleet;
+    fleet.run_plan(seconds(20));
+    upstream_report idle;
+    idle.measured_at = fleet.now;
+    fleet.upstreams.row(fleet.upstreams.ring("pool")[0].upstream).report = idle;
+    fleet.run_plan(seconds(20));
+    BOOST_TEST(fleet.running_in("asan") == 5u);
+}
+
+// Guards against sizing the fleet by reports that nobody has renewed.
+BOOST_AUTO_TEST_CASE(ignores_reports_that_are_out_of_date)
+{
+    fleet_simulation fleet;
+    fleet.run_plan(seconds(20));
+    fleet.report(0);
+    fleet.now += seconds(5);
+    fleet.run_plan(seconds(20));
+    BOOST_TEST(fleet.running_in("asan") == 5u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace amarantharch
--- a/src/core/routing.cpp
+++ b/src/core/routing.cpp
@@ -49,6 +49,10 @@
 // nearly unused, and 2 the fast ones.
 constexpr double scarcity = 1.5;
 
+// Cost of a millisecond of prefill at the usual speed, beside the time itself:
+// a prompt part that another upstream has cached would be computed again.
+constexpr double recompute_price = 0.8;
+
 // Part of the error of the prediction within which costs count as equal.
 constexpr double tie_width = 0.2;
 
@@ -263,6 +267,7 @@
         double cost = early_factor * ms +
                       lateness_factor * soft_excess(ms - target, error) +
                       price * found.own_ms +
+                      recompute_price * found.prefill_ms +
                       row.profile.price_per_hour * bounds.ms_per_price;
         if (affinity && c.home && found.option.predicted_cached_tokens == 0)
         {
@@ -337,6 +342,7 @@
         result.usual_ms += pace.hold_ms();
     }
     result.option.predicted_ms = result.usual_ms * factor;
+    result.prefill_ms = uncached / usual_rate;
     result.own_ms = row.profile.kind == upstream_kind::plain
                         ? pace.hold_ms() * factor / slots
                         : uncached / usual_rate * factor;
--- a/src/core/routing.hpp
+++ b/src/core/routing.hpp
@@ -282,9 +282,10 @@
     struct prospect
     {
         choice option;
-        double usual_ms = 0; // predicted_ms at the usual speed
-        double own_ms = 0;   // time that the request takes from others
-        double load = 0;     // requests per slot
+        double usual_ms = 0;   // predicted_ms at the usual speed
+        double own_ms = 0;     // time that the request takes from others
+        double prefill_ms = 0; // of its uncached tokens at the usual speed
+        double load = 0;       // requests per slot
     };
 
     struct candidate
