--- a/src/core/capacity_plan.cpp
+++ b/src/core/capacity_plan.cpp
@@ -169,8 +169,7 @@
         needed_by_requests(now, scaling.service, upstreams, size);
     if (rate && listed && by_requests)
     {
-        auto const domains = static_cast<double>(scaling.prices.size());
-        needed = std::min(needed, *by_requests / domains);
+        needed = std::min(needed, *by_requests / static_cast<double>(domains));
     }
     if (needed > size.each)
     {
