--- a/src/core/cold_upstream_test.cpp
+++ b/src/core/cold_upstream_test.cpp
@@ -11,6 +11,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace amarantharch
@@ -129,7 +130,8 @@
 
     void answer(start_attempt const& attempt, header_list headers = {})
     {
-        path.handle(now, upstream_head{attempt.attempt, 200, headers});
+        path.handle(now,
+                    upstream_head{attempt.attempt, 200, std::move(headers)});
         path.handle(now, upstream_end{attempt.attempt});
     }
 
--- a/src/core/warm_up_share_test.cpp
+++ b/src/core/warm_up_share_test.cpp
@@ -121,6 +121,27 @@
     }
 }
 
+// Fleets of this size do not double when three VMs join.
+constexpr std::size_t least_of_grown_fleet = 9;
+
+// Cuts a quarter of the VMs off, or a random half, and lets three others join.
+void cut_some_off_and_add_others(sharing_fleet& fleet, bool is_domain)
+{
+    std::size_t const quarter = (fleet.vms.size() + 3) / 4;
+    for (std::size_t i = 0; i < fleet.vms.size(); ++i)
+    {
+        fleet.vms[i].is_cut_off =
+            is_domain ? i < quarter : fleet.random() % 2 == 0;
+    }
+    for (int joined = 0; joined < 3; ++joined)
+    {
+        fleet.vms.push_back(
+            fleet.started(fleet.vms.size(), fleet.vms.size() + 1));
+        fleet.list_anew();
+        fleet.run(seconds(20));
+    }
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(the_requests_for_a_cold_upstream)
@@ -182,7 +203,7 @@
 
 // Guards against a share of VMs without contact that rests on an old list while
 // the others have a new one: one failure domain, and a random half. Fleets that
-// grow to twice their size meanwhile are no part of the case: see the header.
+// grow to twice their size meanwhile are the next case.
 BOOST_AUTO_TEST_CASE(while_vms_are_cut_off_and_others_join)
 {
     for (bool const is_domain : {true, false})
@@ -190,22 +211,27 @@
         check(
             [is_domain](sharing_fleet& fleet)
             {
-                if (fleet.vms.size() < 9)
-                {
-                    return;
-                }
-                std::size_t const quarter = (fleet.vms.size() + 3) / 4;
-                for (std::size_t i = 0; i < fleet.vms.size(); ++i)
+                if (fleet.vms.size() >= least_of_grown_fleet)
                 {
-                    fleet.vms[i].is_cut_off =
-                        is_domain ? i < quarter : fleet.random() % 2 == 0;
+                    cut_some_off_and_add_others(fleet, is_domain);
                 }
-                for (int joined = 0; joined < 3; ++joined)
+            });
+    }
+}
+
+// Guards against the same where the old list has less than half of the VMs. See
+// the header, and KNOWN-RED.txt: the bound does not hold at 30 requests a
+// second.
+BOOST_AUTO_TEST_CASE(while_vms_are_cut_off_and_the_fleet_doubles)
+{
+    for (bool const is_domain : {true, false})
+    {
+        check(
+            [is_domain](sharing_fleet& fleet)
+            {
+                if (fleet.vms.size() < least_of_grown_fleet)
                 {
-                    fleet.vms.push_back(
-                        fleet.started(fleet.vms.size(), fleet.vms.size() + 1));
-                    fleet.list_anew();
-                    fleet.run(seconds(20));
+                    cut_some_off_and_add_others(fleet, is_domain);
                 }
             });
     }
