--- a/src/app/platform_mode.cpp
+++ b/src/app/platform_mode.cpp
@@ -27,6 +27,9 @@
 // The holder of duties writes a record each usage window; it is replaced when
 // it is silent for so much longer.
 constexpr duration takeover_margin = std::chrono::seconds(2);
+// Requests per slot. A request waits for a slot only where all are taken, and
+// held back earlier it would wait for nothing.
+constexpr double full_occupancy = 1;
 constexpr int service_unavailable = 503;
 constexpr std::uint64_t request_memory_divisor = 4;
 constexpr std::uint64_t timeline_bytes = std::uint64_t{512} << 10;
@@ -75,6 +78,7 @@
     options.held_answer_bytes = held_answer_bytes;
     options.crashes.quorum = crash_quorum;
     options.engine_prefill_tokens_per_ms = engine_prefill_tokens_per_ms;
+    options.shedding.least_urgent_occupancy = full_occupancy;
     options.not_run_status = service_unavailable;
     options.quarantined_status = service_unavailable;
     // What upstreams bear is decided by routing; the limit does not shrink.
--- a/src/core/routing.cpp
+++ b/src/core/routing.cpp
@@ -272,8 +272,9 @@
         if (affinity && c.home && found.option.predicted_cached_tokens == 0)
         {
             double const rank = static_cast<double>(i + 1);
-            cost -= options_.home_discount / rank * request.prompt_tokens /
-                    pace.prefill_tokens_per_ms();
+            double const ms_weight = 1 + price + recompute_price;
+            cost -= options_.home_discount / rank * ms_weight *
+                    request.prompt_tokens / pace.prefill_tokens_per_ms();
         }
         prospects_.push_back(found);
         costs_.push_back(cost);
