--- a/src/core/capacity_plan.cpp
+++ b/src/core/capacity_plan.cpp
@@ -7,6 +7,15 @@
 namespace amarantharch
 {
 
+namespace
+{
+
+// The last estimate by requests in progress holds for so long while too few
+// upstreams report: a short gap would raise the number to that by offered load.
+constexpr duration progress_lifetime = std::chrono::seconds(5);
+
+} // namespace
+
 // Upstreams of a kind in a domain that are present and not leaving. Ejected
 // ones are counted, since they still run.
 std::uint32_t capacity_plan::serving(upstream_table const& upstreams,
@@ -89,11 +98,13 @@
             ++reporting;
             requests += static_cast<double>(each.report->running) +
                         each.report->waiting;
-            slots += each.profile.slots;
         }
+        slots += each.profile.slots;
     }
     auto const listed = static_cast<double>(present.size());
-    if (slots <= 0 || reporting < options_.min_reporting_share * listed)
+    bool const is_known =
+        reporting > 0 && reporting >= options_.min_reporting_share * listed;
+    if (!is_known && now - size.in_progress_at > progress_lifetime)
     {
         return std::nullopt;
     }
@@ -101,9 +112,12 @@
         size.in_progress *
         std::exp(-std::chrono::duration<double>(now - size.in_progress_at) /
                  std::chrono::duration<double>(options_.progress_decay));
-    size.in_progress = std::max(kept, requests);
-    size.in_progress_at = now;
-    double const mean_slots = slots / reporting;
+    if (is_known)
+    {
+        size.in_progress = std::max(kept, requests);
+        size.in_progress_at = now;
+    }
+    double const mean_slots = slots / std::max(listed, 1.0);
     double const aim = options_.max_requests_in_progress * mean_slots /
                        (mean_slots + options_.half_saturation_slots);
     return size.in_progress / aim;
--- a/src/core/capacity_plan_test.cpp
+++ b/src/core/capacity_plan_test.cpp
@@ -408,6 +408,16 @@
     BOOST_TEST(fleet.running_in("asan") == 5u);
 }
 
+// Guards against a short gap in the reports, after which the plan would pay for
+// the number by offered load until it may shrink again.
+BOOST_AUTO_TEST_CASE(keeps_to_them_over_a_short_gap)
+{
+    fleet_simulation fleet;
+    fleet.run_reporting(22, seconds(60));
+    fleet.run_plan(seconds(5));
+    BOOST_TEST(fleet.plan.planned_each("pool") == 2u);
+}
+
 // Guards against sizing the fleet by reports that nobody has renewed.
 BOOST_AUTO_TEST_CASE(ignores_reports_that_are_out_of_date)
 {
