Routing by work time: the weight of a home leaves some work to every upstream

The discount of a home now has the weight of prefill that is saved, and one request in 24 goes to any upstream in time.

--- a/src/core/routing.cpp
+++ b/src/core/routing.cpp
@@ -57,7 +57,7 @@
 constexpr double tie_width = 0.2;
 
 // One in so many requests goes to any candidate that serves it well in time.
-constexpr std::uint64_t probe_interval = 32;
+constexpr std::uint64_t probe_interval = 24;
 
 // An attempt tells the rate of the prefill if it has at least so many uncached
 // tokens, and its upstream at most so many requests per slot.
@@ -272,8 +272,7 @@
         if (affinity && c.home && found.option.predicted_cached_tokens == 0)
         {
             double const rank = static_cast<double>(i + 1);
-            double const ms_weight = 1 + price + recompute_price;
-            cost -= options_.home_discount / rank * ms_weight *
+            cost -= options_.home_discount / rank * (1 + recompute_price) *
                     request.prompt_tokens / pace.prefill_tokens_per_ms();
         }
         prospects_.push_back(found);
