--- a/src/core/capacity_plan.cpp
+++ b/src/core/capacity_plan.cpp
@@ -79,7 +79,8 @@
 }
 
 // Upstreams that are needed for the requests in progress; nothing if too few
-// upstreams report them.
+// upstreams report them, or none states its work time: the throughput that the
+// plan assumes then fits them.
 std::optional<double>
 capacity_plan::needed_by_requests(time_point now, std::string const& service,
                                   upstream_table const& upstreams,
@@ -88,6 +89,7 @@
     double requests = 0;
     double slots = 0;
     double reporting = 0;
+    bool states_work = false;
     auto const& present = upstreams.ring(service);
     for (auto const& point : present)
     {
@@ -96,6 +98,7 @@
             now - each.report->measured_at <= options_.max_report_age)
         {
             ++reporting;
+            states_work = states_work || each.report->work.has_value();
             requests += static_cast<double>(each.report->running) +
                         each.report->waiting;
         }
@@ -103,7 +106,7 @@
     }
     auto const listed = static_cast<double>(present.size());
     bool const is_known =
-        reporting > 0 && reporting >= options_.min_reporting_share * listed;
+        states_work && reporting >= options_.min_reporting_share * listed;
     if (!is_known && now - size.in_progress_at > progress_lifetime)
     {
         return std::nullopt;
--- a/src/core/capacity_plan_test.cpp
+++ b/src/core/capacity_plan_test.cpp
@@ -109,6 +109,10 @@
         {
             upstream_report load;
             load.measured_at = now;
+            if (states_work)
+            {
+                load.work = {now, 100, 100, 1};
+            }
             load.running = static_cast<std::uint32_t>(
                 requests / static_cast<double>(present.size()));
             upstreams.row(point.upstream).report = load;
@@ -160,6 +164,7 @@
     upstream_table upstreams;
     time_point now = start;
     bool reclaimable_sold_out = false;
+    bool states_work = true; // in the upstreams' reports
 };
 
 } // namespace
@@ -403,11 +408,21 @@
     fleet.run_plan(seconds(20));
     upstream_report idle;
     idle.measured_at = fleet.now;
+    idle.work = {fleet.now, 100, 100, 1};
     fleet.upstreams.row(fleet.upstreams.ring("pool")[0].upstream).report = idle;
     fleet.run_plan(seconds(20));
     BOOST_TEST(fleet.running_in("asan") == 5u);
 }
 
+// Guards against another size where the upstreams do not state a work time.
+BOOST_AUTO_TEST_CASE(is_as_by_offered_load_where_no_work_time_is_stated)
+{
+    fleet_simulation fleet;
+    fleet.states_work = false;
+    fleet.run_reporting(22, seconds(60));
+    BOOST_TEST(fleet.running_in("asan") == 5u);
+}
+
 // Guards against a short gap in the reports, after which the plan would pay for
 // the number by offered load until it may shrink again.
 BOOST_AUTO_TEST_CASE(keeps_to_them_over_a_short_gap)
