--- a/src/core/routing.cpp
+++ b/src/core/routing.cpp
@@ -44,9 +44,8 @@
 constexpr double time_price = 0.5;
 constexpr double time_price_per_load = 4;
 
-// Power of the speed that the price grows with. In a replay of the newsroom at
-// 1.7 and 2.6 times its load (uneven_upstreams_test), 1 left the slow upstreams
-// nearly unused, and 2 the fast ones.
+// Power of the speed that the price grows with. A lower one leaves slow
+// upstreams nearly unused, a higher one the fast ones (uneven_upstreams_test).
 constexpr double scarcity = 1.5;
 
 // Cost of a millisecond of prefill at the usual speed, beside the time itself:
