--- a/review/kit-2/rig.h
+++ b/review/kit-2/rig.h
@@ -1140,6 +1140,7 @@
     int waiting = 6;
     double work_ms = 30;
     std::string deadly_part = {};
+    std::string deadly_path = {};
     std::string version = "v1";
     double slow_share = 0;
     double slow_factor = 1;
@@ -1211,6 +1212,7 @@
             format("waiting=%d", spec_.waiting),
             format("work_ms=%.1f", spec_.work_ms),
             "deadly=" + spec_.deadly_part,
+            "deadly_path=" + spec_.deadly_path,
             format("slow_share=%.3f", spec_.slow_share),
             format("slow_factor=%.3f", spec_.slow_factor),
             format("cut_share=%.3f", spec_.cut_share),
--- a/review/kit-2/server.cc
+++ b/review/kit-2/server.cc
@@ -9,6 +9,7 @@
 //     deadly       the process ends where it would begin the answer to a
 //                  request whose Prefix-Hash holds this part, other than as
 //                  its last one
+//     deadly_path  the same for a request to this path
 //     slow_share   this part of the answers takes slow_factor times as long
 //     cut_share    this part of the answers is broken off: the connection is
 //                  reset in the middle of the body
@@ -37,6 +38,7 @@
     int waiting = 0;
     double work_ms = 0;
     std::string deadly;
+    std::string deadly_path;
     double slow_share = 0;
     double slow_factor = 1;
     double cut_share = 0;
@@ -155,7 +157,7 @@
                                   503, head + "Not-Executed: 1\r\n", ""));
         }
         log_.line(rig::now_ms(), "begin " + id);
-        if (is_deadly(request.field("prefix-hash")) && work(c, work_ms_of(id)))
+        if (is_deadly(request) && work(c, work_ms_of(id)))
         {
             log_.line(rig::now_ms(), "crash " + id);
             _exit(1);
@@ -303,13 +305,15 @@
         free_.notify_one();
     }
 
-    bool is_deadly(std::string const& prefix) const
+    bool is_deadly(rig::message const& request) const
     {
-        if (what_.deadly.empty())
+        if (!what_.deadly_path.empty() && request.path() == what_.deadly_path)
         {
-            return false;
+            return true;
         }
-        auto const at = prefix.find(what_.deadly + ":");
+        std::string const prefix = request.field("prefix-hash");
+        auto const at = what_.deadly.empty() ? std::string::npos
+                                             : prefix.find(what_.deadly + ":");
         return at != std::string::npos &&
                prefix.find(',', at) != std::string::npos;
     }
@@ -353,6 +357,7 @@
     what.waiting = static_cast<int>(number("waiting"));
     what.work_ms = number("work_ms");
     what.deadly = given["deadly"];
+    what.deadly_path = given["deadly_path"];
     what.slow_share = number("slow_share");
     what.slow_factor = number("slow_factor");
     what.cut_share = number("cut_share");
