--- a/review/10/case.cc
+++ b/review/10/case.cc
@@ -8,7 +8,7 @@
 constexpr double length_ms = 100'000;
 constexpr double late_ms = 500;         // after the client has closed
 constexpr double silence_ms = 1000;     // of a sound server
-constexpr double silence_gap_ms = 2000; // between two silences
+constexpr double silence_gap_ms = 1500; // between two silences
 constexpr double share_that_leaves = 0.3;
 constexpr double target_ms = 300;
 // "More than a few" of the rule.
