--- a/review/10/case.cc
+++ b/review/10/case.cc
@@ -1,6 +1,6 @@
 // Clients of a route whose requests may run once leave before their answer.
 // One server at a time is silent for a second and goes on.
-#include "../kit-2/rig.h"
+#include "../rig-2.h"
 
 namespace
 {
--- a/review/6/case.cc
+++ b/review/6/case.cc
@@ -1,5 +1,5 @@
 // A new version of a service breaks off half of its answers.
-#include "../kit-2/rollout.h"
+#include "../rollout-2.h"
 
 namespace
 {
--- a/review/7/case.cc
+++ b/review/7/case.cc
@@ -1,6 +1,6 @@
 // A new version of a service answers half of its requests eight times slower.
 // Clients abandon a stream before its first event as PROTOCOL.md says.
-#include "../kit-2/rollout.h"
+#include "../rollout-2.h"
 
 namespace
 {
--- a/review/8/case.cc
+++ b/review/8/case.cc
@@ -1,6 +1,6 @@
 // Requests with one part of their prompt crash the servers that begin them.
 // They come a few at a time.
-#include "../kit-2/deadly.h"
+#include "../deadly-2.h"
 
 namespace
 {
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,7 +6,7 @@
 out=target/review-2
 mkdir -p "$out"
 flags=(-std=c++20 -O1 -Wall -Wextra -pthread)
-g++ "${flags[@]}" -o "$out/server" review/kit-2/server.cc
+g++ "${flags[@]}" -o "$out/server" review/server-2.cc
 for case in 6 7 8 9 10; do
     [ -e "review/$case/case.cc" ] || continue
     g++ "${flags[@]}" -o "$out/$case" "review/$case/case.cc"
--- a/review/kit-2/deadly.h
+++ b/review/deadly-2.h
@@ -1,9 +1,9 @@
 // Requests whose prompts may hold a part that crashes the servers that begin
 // them, and the clients that send them.
-#ifndef REVIEW_KIT_2_DEADLY_H
-#define REVIEW_KIT_2_DEADLY_H
+#ifndef REVIEW_DEADLY_2_H
+#define REVIEW_DEADLY_2_H
 
-#include "rig.h"
+#include "rig-2.h"
 
 namespace deadly
 {
--- a/review/kit-2/rig.h
+++ b/review/rig-2.h
@@ -3,8 +3,8 @@
 //
 // Each stand-in does what PROTOCOL.md says and no more. All addresses are on
 // the loopback interface; one VM has one address of its own.
-#ifndef REVIEW_KIT_2_RIG_H
-#define REVIEW_KIT_2_RIG_H
+#ifndef REVIEW_RIG_2_H
+#define REVIEW_RIG_2_H
 
 #include <arpa/inet.h>
 #include <fcntl.h>
@@ -1130,7 +1130,7 @@
     return format("%016llx", static_cast<unsigned long long>(seed));
 }
 
-// ---- Servers, as processes of kit-2/server.cc. ----
+// ---- Servers, as processes of server-2.cc. ----
 
 struct server_spec
 {
@@ -1303,13 +1303,13 @@
 }
 
 // Runs `body(root, scratch folder, record)`, which returns whether the rule
-// was broken. Arguments: the repository's root and the case's folder.
+// was broken. Arguments: the repository's root and the path of record.txt.
 template <typename Body>
 int run_case(int argc, char** argv, Body body)
 {
     if (argc != 3)
     {
-        std::fprintf(stderr, "usage: %s ROOT FOLDER\n", argv[0]);
+        std::fprintf(stderr, "usage: %s ROOT RECORD\n", argv[0]);
         return could_not_run;
     }
     std::signal(SIGPIPE, SIG_IGN);
@@ -1325,7 +1325,7 @@
     }
     try
     {
-        line_file record(std::string(argv[2]) + "/record.txt");
+        line_file record(argv[2]);
         result = body(std::string(argv[1]), std::string(scratch), record)
                      ? rule_broken
                      : rule_held;
--- a/review/kit-2/rollout.h
+++ b/review/rollout-2.h
@@ -1,9 +1,9 @@
 // A move of a service's traffic to a new version that is bad, and how much of
 // it the new version gets.
-#ifndef REVIEW_KIT_2_ROLLOUT_H
-#define REVIEW_KIT_2_ROLLOUT_H
+#ifndef REVIEW_ROLLOUT_2_H
+#define REVIEW_ROLLOUT_2_H
 
-#include "rig.h"
+#include "rig-2.h"
 
 namespace rollout
 {
--- a/review/kit-2/server.cc
+++ b/review/server-2.cc
@@ -19,7 +19,7 @@
 //
 // The log has a line for each request: "arrive ID", then "reject ID",
 // "begin ID", "crash ID", "end ID" or "drop ID".
-#include "rig.h"
+#include "rig-2.h"
 
 namespace
 {
@@ -364,7 +364,7 @@
     if (what.store.find(':') == std::string::npos || what.id.empty() ||
         what.slots <= 0 || given["log"].empty())
     {
-        std::fprintf(stderr, "usage: see the head of server.cc\n");
+        std::fprintf(stderr, "usage: see the head of server-2.cc\n");
         return 2;
     }
     try
